--- a/capacity/memory_test.go
+++ b/capacity/memory_test.go
@@ -9,8 +9,8 @@
 	"jackdawswitch/config"
 	"jackdawswitch/ledger"
 	"jackdawswitch/membership"
-	"jackdawswitch/platform"
 	"jackdawswitch/routing"
+	"jackdawswitch/vmlist"
 
 	pb "jackdawswitch/api/jackdawv1"
 )
@@ -42,9 +42,9 @@
 func view(doc *config.Document) *membership.View {
 	v := membership.New(membership.Options{Self: member(0)})
 	v.Register(start, doc)
-	snapshot := platform.VMSnapshot{At: start}
+	snapshot := vmlist.Snapshot{At: start}
 	for _, vm := range doc.Register.VMs {
-		snapshot.VMs = append(snapshot.VMs, platform.VM{ID: vm.ID, State: platform.VMLive})
+		snapshot.VMs = append(snapshot.VMs, vmlist.VM{ID: vm.ID, State: vmlist.Live})
 	}
 	v.VMList(start, snapshot)
 	return v
--- a/capacity/merge_test.go
+++ b/capacity/merge_test.go
@@ -8,7 +8,7 @@
 
 	"jackdawswitch/credit/audit"
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // batchBills is the number of bills of one lot and region in a batch: 15 s of
@@ -17,25 +17,25 @@
 
 // rowTable holds the rows of one lot.
 type rowTable struct {
-	platform.Table
+	storage.Table
 	rows map[string][]byte
 }
 
-func (t *rowTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *rowTable) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
+	var rows []storage.Row
 	for _, key := range keys {
 		if value, ok := t.rows[key]; ok {
-			rows = append(rows, platform.Row{Key: key, Value: value, Version: 1})
+			rows = append(rows, storage.Row{Key: key, Value: value, Version: 1})
 		}
 	}
 	return rows, nil
 }
 
-func (t *rowTable) List(_ context.Context, prefix, after string, _ int) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *rowTable) List(_ context.Context, prefix, after string, _ int) ([]storage.Row, error) {
+	var rows []storage.Row
 	for key, value := range t.rows {
 		if len(key) > len(prefix) && key[:len(prefix)] == prefix && key > after {
-			rows = append(rows, platform.Row{Key: key, Value: value, Version: 1})
+			rows = append(rows, storage.Row{Key: key, Value: value, Version: 1})
 		}
 	}
 	return rows, nil
@@ -44,7 +44,7 @@
 // chainObjects holds a chain of batches, counts the reads and notes the heap at
 // the read of the first batch, which comes last.
 type chainObjects struct {
-	platform.ObjectStore
+	storage.ObjectStore
 	bodies map[string][]byte
 	first  string
 	reads  int
--- a/cmd/jackdaw-router/main.go
+++ b/cmd/jackdaw-router/main.go
@@ -6,11 +6,11 @@
 
 	"jackdawswitch/daemon"
 	"jackdawswitch/ops"
-	"jackdawswitch/platform/objecthttp"
-	"jackdawswitch/platform/tablehttp"
-	"jackdawswitch/platform/vmlisthttp"
 	"jackdawswitch/router"
 	"jackdawswitch/settings"
+	"jackdawswitch/storage/objecthttp"
+	"jackdawswitch/storage/tablehttp"
+	"jackdawswitch/vmlist/vmlisthttp"
 )
 
 const name = "jackdaw-router"
--- a/cmd/jackdawctl/main.go
+++ b/cmd/jackdawctl/main.go
@@ -9,11 +9,11 @@
 
 	"jackdawswitch/ctl"
 	"jackdawswitch/daemon"
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/objecthttp"
-	"jackdawswitch/platform/tablehttp"
 	"jackdawswitch/quickstart"
 	"jackdawswitch/settings"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/objecthttp"
+	"jackdawswitch/storage/tablehttp"
 )
 
 func main() {
@@ -30,7 +30,7 @@
 	os.Exit(code)
 }
 
-func open(at settings.Platform) (platform.Table, platform.ObjectStore, error) {
+func open(at settings.Platform) (storage.Table, storage.ObjectStore, error) {
 	table := tablehttp.New(at.Table, tablehttp.Options{})
 	objects := objecthttp.New(at.ObjectStore, objecthttp.Options{})
 	return table, objects, nil
--- a/configsync/apply.go
+++ b/configsync/apply.go
@@ -9,7 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -44,8 +44,8 @@
 // written.
 func Apply(
 	ctx context.Context,
-	table platform.Table,
-	objects platform.ObjectStore,
+	table storage.Table,
+	objects storage.ObjectStore,
 	base uint64,
 	doc *config.Document,
 ) (uint64, error) {
@@ -76,7 +76,7 @@
 		version, err := a.attempt(ctx)
 		// A conflict at an unchanged head is a lot row that moved: a grant was
 		// taken or settled meanwhile.
-		if !platform.IsKind(err, platform.KindConflict) || attempt == maxAttempts {
+		if !storage.IsKind(err, storage.KindConflict) || attempt == maxAttempts {
 			return version, err
 		}
 	}
@@ -103,7 +103,7 @@
 
 func (a *applier) commit(ctx context.Context, head headRow, current *replica, change config.Change) (uint64, error) {
 	version := head.Version + 1
-	txn := platform.Transaction{ID: "config-" + rand.Text()}
+	txn := storage.Transaction{ID: "config-" + rand.Text()}
 	if err := a.putLots(ctx, &txn, change.Lots); err != nil {
 		return 0, err
 	}
@@ -116,7 +116,7 @@
 	return version, a.resolve(ctx, txn, version)
 }
 
-func (a *applier) putChange(ctx context.Context, txn *platform.Transaction, version uint64, change config.Change) error {
+func (a *applier) putChange(ctx context.Context, txn *storage.Transaction, version uint64, change config.Change) error {
 	encoded, err := json.Marshal(change)
 	if err != nil {
 		return &FormatError{Item: "change", Cause: err}
@@ -139,7 +139,7 @@
 		return err
 	}
 	err = a.objects.PutIfAbsent(ctx, key, packed)
-	if platform.IsKind(err, platform.KindConflict) {
+	if storage.IsKind(err, storage.KindConflict) {
 		return nil
 	}
 	return err
@@ -148,7 +148,7 @@
 // putHead moves the head on. It also refers to a snapshot of the document
 // before the change when the last one is far behind, and drops changes that no
 // longer need to be kept.
-func (a *applier) putHead(ctx context.Context, txn *platform.Transaction, head headRow, current *replica) error {
+func (a *applier) putHead(ctx context.Context, txn *storage.Transaction, head headRow, current *replica) error {
 	next := head.Head
 	next.Version++
 	next.Oldest = max(next.Oldest, 1)
@@ -173,12 +173,12 @@
 		return false
 	}
 	err = a.objects.PutIfAbsent(ctx, SnapshotKey(current.version), data)
-	return err == nil || platform.IsKind(err, platform.KindConflict)
+	return err == nil || storage.IsKind(err, storage.KindConflict)
 }
 
 // resolve commits the transaction until its outcome is known. Committing it
 // again is safe: it has a condition on each row that it writes.
-func (a *applier) resolve(ctx context.Context, txn platform.Transaction, version uint64) error {
+func (a *applier) resolve(ctx context.Context, txn storage.Transaction, version uint64) error {
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstRetry, longestRetry
 	doubtful := false
@@ -187,17 +187,17 @@
 		if err == nil {
 			return nil
 		}
-		doubtful = doubtful || platform.OutcomeOf(err) == platform.OutcomeUnknown
+		doubtful = doubtful || storage.OutcomeOf(err) == storage.OutcomeUnknown
 		accepted, readErr := a.accepted(ctx, txn.ID, version)
 		if accepted {
 			return nil
 		}
 		// Row versions only rise, so a condition that failed once fails for
 		// ever, also for an earlier attempt that is still under way.
-		if readErr == nil && platform.IsKind(err, platform.KindConflict) {
+		if readErr == nil && storage.IsKind(err, storage.KindConflict) {
 			return a.refused(ctx, err)
 		}
-		if platform.IsKind(err, platform.KindInvalid) && !doubtful {
+		if storage.IsKind(err, storage.KindInvalid) && !doubtful {
 			return err
 		}
 		select {
@@ -252,12 +252,12 @@
 	return conflict
 }
 
-func put(txn *platform.Transaction, key string, version uint64, value any) error {
+func put(txn *storage.Transaction, key string, version uint64, value any) error {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return &FormatError{Item: "row " + key, Cause: err}
 	}
-	txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: version})
-	txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: encoded})
+	txn.Conditions = append(txn.Conditions, storage.Condition{Key: key, Version: version})
+	txn.Puts = append(txn.Puts, storage.Put{Key: key, Value: encoded})
 	return nil
 }
--- a/configsync/apply_test.go
+++ b/configsync/apply_test.go
@@ -12,7 +12,7 @@
 
 	"jackdawswitch/config"
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 	"jackdawswitch/strictjson"
 )
 
@@ -25,7 +25,7 @@
 	return version
 }
 
-func lotRow(t *testing.T, table *fakeTable, lot string) (ledger.LotRow, platform.Row) {
+func lotRow(t *testing.T, table *fakeTable, lot string) (ledger.LotRow, storage.Row) {
 	t.Helper()
 	row := table.rows[ledger.LotKey("coffee", lot)]
 	var value ledger.LotRow
@@ -40,7 +40,7 @@
 	t.Helper()
 	value, row := lotRow(t, table, lot)
 	value.Committed += credits
-	txn := platform.Transaction{ID: "grant"}
+	txn := storage.Transaction{ID: "grant"}
 	if err := put(&txn, row.Key, row.Version, value); err != nil {
 		t.Fatal(err)
 	}
--- a/configsync/fake_test.go
+++ b/configsync/fake_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 
 	pb "jackdawswitch/api/jackdawv1"
 )
@@ -18,7 +18,7 @@
 // fakeTable is a table and an object store in memory with fault switches.
 type fakeTable struct {
 	mu       sync.Mutex
-	rows     map[string]platform.Row
+	rows     map[string]storage.Row
 	objects  map[string][]byte
 	revision uint64
 	reads    int
@@ -29,24 +29,24 @@
 	lose, drop, delay int
 	// blind is the number of reads that fail after each such commit.
 	blind, blinded int
-	late           []platform.Transaction
+	late           []storage.Transaction
 	// beforeCommit runs once, ahead of the next commit.
 	beforeCommit func()
 }
 
 func newFakeTable() *fakeTable {
-	return &fakeTable{rows: make(map[string]platform.Row), objects: make(map[string][]byte)}
+	return &fakeTable{rows: make(map[string]storage.Row), objects: make(map[string][]byte)}
 }
 
 func unavailable(op string) error {
-	return &platform.Error{Op: op, Kind: platform.KindUnavailable, Outcome: platform.OutcomeNotDone}
+	return &storage.Error{Op: op, Kind: storage.KindUnavailable, Outcome: storage.OutcomeNotDone}
 }
 
 func unknown(op string) error {
-	return &platform.Error{Op: op, Kind: platform.KindTimeout, Outcome: platform.OutcomeUnknown}
+	return &storage.Error{Op: op, Kind: storage.KindTimeout, Outcome: storage.OutcomeUnknown}
 }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Transaction) (platform.Commit, error) {
+func (f *fakeTable) Commit(_ context.Context, txn storage.Transaction) (storage.Commit, error) {
 	f.mu.Lock()
 	before := f.beforeCommit
 	f.beforeCommit = nil
@@ -57,22 +57,22 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Commit{}, unavailable("table.commit")
+		return storage.Commit{}, unavailable("table.commit")
 	}
 	if f.drop > 0 {
 		f.drop--
-		return platform.Commit{}, f.doubt()
+		return storage.Commit{}, f.doubt()
 	}
 	if f.delay > 0 {
 		f.delay--
 		f.late = append(f.late, txn)
-		return platform.Commit{}, f.doubt()
+		return storage.Commit{}, f.doubt()
 	}
 	f.arriveLocked()
 	commit, err := f.commitLocked(txn)
 	if err == nil && f.lose > 0 {
 		f.lose--
-		return platform.Commit{}, f.doubt()
+		return storage.Commit{}, f.doubt()
 	}
 	return commit, err
 }
@@ -90,25 +90,25 @@
 	f.late = nil
 }
 
-func (f *fakeTable) commitLocked(txn platform.Transaction) (platform.Commit, error) {
+func (f *fakeTable) commitLocked(txn storage.Transaction) (storage.Commit, error) {
 	for _, cond := range txn.Conditions {
 		if f.rows[cond.Key].Version != cond.Version {
-			return platform.Commit{}, &platform.Error{
-				Op: "table.commit", Kind: platform.KindConflict, Outcome: platform.OutcomeNotDone, Key: cond.Key,
+			return storage.Commit{}, &storage.Error{
+				Op: "table.commit", Kind: storage.KindConflict, Outcome: storage.OutcomeNotDone, Key: cond.Key,
 			}
 		}
 	}
 	f.revision++
 	for _, put := range txn.Puts {
-		f.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: f.revision, Writer: txn.ID}
+		f.rows[put.Key] = storage.Row{Key: put.Key, Value: put.Value, Version: f.revision, Writer: txn.ID}
 	}
 	for _, key := range txn.Deletes {
 		delete(f.rows, key)
 	}
-	return platform.Commit{Version: f.revision}, nil
+	return storage.Commit{Version: f.revision}, nil
 }
 
-func (f *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
@@ -119,7 +119,7 @@
 	if f.down {
 		return nil, unavailable("table.get")
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range slices.Sorted(slices.Values(keys)) {
 		if row, ok := f.rows[key]; ok {
 			rows = append(rows, row)
@@ -128,10 +128,10 @@
 	return rows, nil
 }
 
-func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range slices.Sorted(maps.Keys(f.rows)) {
 		if strings.HasPrefix(key, prefix) && key > after && len(rows) < limit {
 			rows = append(rows, f.rows[key])
@@ -140,7 +140,7 @@
 	return rows, nil
 }
 
-func (f *fakeTable) Watch(ctx context.Context, _ string, _ uint64) ([]platform.Row, error) {
+func (f *fakeTable) Watch(ctx context.Context, _ string, _ uint64) ([]storage.Row, error) {
 	<-ctx.Done()
 	return nil, nil
 }
@@ -154,7 +154,7 @@
 		return unavailable("object.put")
 	}
 	if _, ok := f.objects[key]; ok {
-		return &platform.Error{Op: "object.put", Kind: platform.KindConflict, Outcome: platform.OutcomeNotDone}
+		return &storage.Error{Op: "object.put", Kind: storage.KindConflict, Outcome: storage.OutcomeNotDone}
 	}
 	f.objects[key] = data
 	return nil
@@ -168,7 +168,7 @@
 	}
 	data, ok := f.objects[key]
 	if !ok {
-		return nil, &platform.Error{Op: "object.get", Kind: platform.KindNotFound}
+		return nil, &storage.Error{Op: "object.get", Kind: storage.KindNotFound}
 	}
 	return data, nil
 }
@@ -222,10 +222,10 @@
 	return store.Respond(after)
 }
 
-func testRows(rows map[string][]byte) platform.Transaction {
-	txn := platform.Transaction{ID: "test"}
+func testRows(rows map[string][]byte) storage.Transaction {
+	txn := storage.Transaction{ID: "test"}
 	for key, value := range rows {
-		txn.Puts = append(txn.Puts, platform.Put{Key: key, Value: value})
+		txn.Puts = append(txn.Puts, storage.Put{Key: key, Value: value})
 	}
 	return txn
 }
--- a/configsync/lots.go
+++ b/configsync/lots.go
@@ -6,7 +6,7 @@
 
 	"jackdawswitch/config"
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // lotUpdate is what a change makes of one lot row.
@@ -18,7 +18,7 @@
 
 // putLots adds the rows of the lots that the change touches. What homes keep
 // in those rows stays as it is.
-func (a *applier) putLots(ctx context.Context, txn *platform.Transaction, delta config.Delta[config.Lot]) error {
+func (a *applier) putLots(ctx context.Context, txn *storage.Transaction, delta config.Delta[config.Lot]) error {
 	updates := lotUpdates(delta)
 	if len(updates) > MaxLotsPerChange {
 		return &SizeError{Lots: len(updates), Limit: MaxLotsPerChange}
@@ -62,8 +62,8 @@
 	return updates
 }
 
-func (a *applier) lotRows(ctx context.Context, updates []lotUpdate) (map[string]platform.Row, error) {
-	found := make(map[string]platform.Row, len(updates))
+func (a *applier) lotRows(ctx context.Context, updates []lotUpdate) (map[string]storage.Row, error) {
+	found := make(map[string]storage.Row, len(updates))
 	for len(updates) > 0 {
 		count := min(len(updates), rowsPerRead)
 		keys := make([]string, 0, count)
@@ -83,7 +83,7 @@
 }
 
 // value returns the new row and the version of the old one.
-func (u lotUpdate) value(rows map[string]platform.Row) (uint64, ledger.LotRow, error) {
+func (u lotUpdate) value(rows map[string]storage.Row) (uint64, ledger.LotRow, error) {
 	value := ledger.LotRow{Workspace: u.lot.Workspace, Lot: u.lot.ID}
 	row, exists := rows[u.key]
 	if exists {
--- a/configsync/proof_test.go
+++ b/configsync/proof_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 
 	pb "jackdawswitch/api/jackdawv1"
 )
@@ -169,7 +169,7 @@
 		if conflict.Complete && uint64(len(conflict.Since)) != conflict.Head-conflict.Base {
 			t.Fatalf("the conflict lists %d changes of %d", len(conflict.Since), conflict.Head-conflict.Base)
 		}
-	case platform.IsKind(err, platform.KindUnavailable):
+	case storage.IsKind(err, storage.KindUnavailable):
 		// Nothing was written: the oracle stays, and every look compares.
 	default:
 		t.Fatalf("apply: %v", err)
@@ -336,4 +336,4 @@
 	w.expect(t, last, version, "the platform")
 }
 
-var _ platform.Table = (*fakeTable)(nil)
+var _ storage.Table = (*fakeTable)(nil)
--- a/configsync/reader.go
+++ b/configsync/reader.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 
 	pb "jackdawswitch/api/jackdawv1"
 )
@@ -13,8 +13,8 @@
 
 // reader reads the configuration from the platform.
 type reader struct {
-	table   platform.Table
-	objects platform.ObjectStore
+	table   storage.Table
+	objects storage.ObjectStore
 }
 
 // headRow is the Head with the version of its row, 0 when it is absent.
@@ -92,7 +92,7 @@
 	return changes, nil
 }
 
-func (r reader) change(ctx context.Context, row platform.Row) (*pb.ConfigChange, error) {
+func (r reader) change(ctx context.Context, row storage.Row) (*pb.ConfigChange, error) {
 	var decoded ChangeRow
 	if err := decodeRow(row.Key, row.Value, &decoded); err != nil {
 		return nil, err
@@ -111,7 +111,7 @@
 
 // Load reads the newest document from the platform. Version 0 means that none
 // was ever accepted; the document is then empty.
-func Load(ctx context.Context, table platform.Table, objects platform.ObjectStore) (*config.Document, uint64, error) {
+func Load(ctx context.Context, table storage.Table, objects storage.ObjectStore) (*config.Document, uint64, error) {
 	from := reader{table: table, objects: objects}
 	head, err := from.head(ctx)
 	if err != nil {
--- a/configsync/spread_test.go
+++ b/configsync/spread_test.go
@@ -12,9 +12,9 @@
 	"github.com/uber-go/tally/v4"
 
 	pb "jackdawswitch/api/jackdawv1"
-	"jackdawswitch/platform"
 	"jackdawswitch/rpc"
 	"jackdawswitch/rpc/memnet"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -69,7 +69,7 @@
 	cut *atomic.Bool
 }
 
-func (c cutTable) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (c cutTable) Get(ctx context.Context, keys ...string) ([]storage.Row, error) {
 	if c.cut.Load() {
 		return nil, unavailable("table.get")
 	}
--- a/configsync/steps.go
+++ b/configsync/steps.go
@@ -5,7 +5,7 @@
 	"slices"
 
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // ApplyInSteps is Apply for changes of any number of lots. A change of more
@@ -16,8 +16,8 @@
 // the newest version goes on from there.
 func ApplyInSteps(
 	ctx context.Context,
-	table platform.Table,
-	objects platform.ObjectStore,
+	table storage.Table,
+	objects storage.ObjectStore,
 	base uint64,
 	doc *config.Document,
 	accepted func(version uint64),
--- a/configsync/store.go
+++ b/configsync/store.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 
 	pb "jackdawswitch/api/jackdawv1"
 )
@@ -39,8 +39,8 @@
 type Options struct {
 	// Table and Objects are the platform's services. An agent has none, and
 	// relies on routers alone.
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   storage.Table
+	Objects storage.ObjectStore
 	// Self is the address of this process, which it never asks.
 	Self          string
 	FailureDomain string
--- a/credit/audit/audit.go
+++ b/credit/audit/audit.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // pageSize is the number of rows read at once.
@@ -19,8 +19,8 @@
 
 // Auditor reads the ledger.
 type Auditor struct {
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   storage.Table
+	Objects storage.ObjectStore
 }
 
 // Lot is the state of one lot. Amounts are in credits.
@@ -69,8 +69,8 @@
 // Unwrap returns the decoder's error.
 func (e *RowError) Unwrap() error { return e.Err }
 
-func list[T any](ctx context.Context, table platform.Table, prefix string) ([]T, []platform.Row, error) {
-	var rows []platform.Row
+func list[T any](ctx context.Context, table storage.Table, prefix string) ([]T, []storage.Row, error) {
+	var rows []storage.Row
 	after := ""
 	for {
 		page, err := table.List(ctx, prefix, after, pageSize)
--- a/credit/audit/merge.go
+++ b/credit/audit/merge.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // checkKeys names the keys with several bills of which none was judged.
@@ -91,7 +91,7 @@
 		return 0, err
 	}
 	if len(rows) == 0 {
-		return 0, &platform.Error{Op: "table.get", Kind: platform.KindNotFound, Outcome: platform.OutcomeNotDone, Key: lotKey}
+		return 0, &storage.Error{Op: "table.get", Kind: storage.KindNotFound, Outcome: storage.OutcomeNotDone, Key: lotKey}
 	}
 	var lot ledger.LotRow
 	if err := json.Unmarshal(rows[0].Value, &lot); err != nil {
@@ -112,23 +112,23 @@
 	return credited, nil
 }
 
-func mergeTransaction(row ledger.MergeRow, version uint64, lot ledger.LotRow, lotVersion uint64) (platform.Transaction, error) {
+func mergeTransaction(row ledger.MergeRow, version uint64, lot ledger.LotRow, lotVersion uint64) (storage.Transaction, error) {
 	mergeKey := ledger.MergeKey(row.Workspace, row.Lot, row.Key)
 	lotKey := ledger.LotKey(lot.Workspace, lot.Lot)
 	rowValue, err := json.Marshal(row)
 	if err != nil {
-		return platform.Transaction{}, &RowError{Key: mergeKey, Err: err}
+		return storage.Transaction{}, &RowError{Key: mergeKey, Err: err}
 	}
 	lotValue, err := json.Marshal(lot)
 	if err != nil {
-		return platform.Transaction{}, &RowError{Key: lotKey, Err: err}
+		return storage.Transaction{}, &RowError{Key: lotKey, Err: err}
 	}
-	return platform.Transaction{
+	return storage.Transaction{
 		ID: fmt.Sprintf("%s.%d.%d", mergeKey, version, lotVersion),
-		Conditions: []platform.Condition{
+		Conditions: []storage.Condition{
 			{Key: mergeKey, Version: version},
 			{Key: lotKey, Version: lotVersion},
 		},
-		Puts: []platform.Put{{Key: mergeKey, Value: rowValue}, {Key: lotKey, Value: lotValue}},
+		Puts: []storage.Put{{Key: mergeKey, Value: rowValue}, {Key: lotKey, Value: lotValue}},
 	}, nil
 }
--- a/credit/audit/verify.go
+++ b/credit/audit/verify.go
@@ -7,7 +7,7 @@
 	"io"
 
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // DifferenceKind names what does not agree.
@@ -103,7 +103,7 @@
 		return nil, err
 	}
 	if len(rows) == 0 {
-		return nil, &platform.Error{Op: "table.get", Kind: platform.KindNotFound, Outcome: platform.OutcomeNotDone, Key: key}
+		return nil, &storage.Error{Op: "table.get", Kind: storage.KindNotFound, Outcome: storage.OutcomeNotDone, Key: key}
 	}
 	l := &lotAudit{}
 	if err := json.Unmarshal(rows[0].Value, &l.row); err != nil {
@@ -179,7 +179,7 @@
 // corrupt is a difference, and ends the chain with nil.
 func (a *Auditor) section(ctx context.Context, l *lotAudit, g *ledger.GrantRow, id string) (*ledger.Section, error) {
 	body, err := a.Objects.Get(ctx, ledger.BatchKey(id))
-	if platform.IsKind(err, platform.KindNotFound) {
+	if storage.IsKind(err, storage.KindNotFound) {
 		l.differ(BatchMissing, g.ID, "batch "+id, 1, 0)
 		return nil, nil
 	}
--- a/credit/audit/verify_test.go
+++ b/credit/audit/verify_test.go
@@ -6,8 +6,8 @@
 	"testing"
 
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
 	"jackdawswitch/standin"
+	"jackdawswitch/storage"
 )
 
 // books are a lot with one grant and one batch, which agree at first.
@@ -35,13 +35,13 @@
 
 func (b *books) bills() []ledger.Bill { return b.batch.Sections[0].Bills }
 
-func put(t *testing.T, table platform.Table, key string, row any) {
+func put(t *testing.T, table storage.Table, key string, row any) {
 	t.Helper()
 	value, err := json.Marshal(row)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := table.Commit(t.Context(), platform.Transaction{ID: key, Puts: []platform.Put{{Key: key, Value: value}}}); err != nil {
+	if _, err := table.Commit(t.Context(), storage.Transaction{ID: key, Puts: []storage.Put{{Key: key, Value: value}}}); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/credit/fakes_test.go
+++ b/credit/fakes_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"sync"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // faults are the faults of a fake, each a probability per call.
@@ -21,50 +21,50 @@
 // fakeTable is a transactional table in memory with faults.
 type fakeTable struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	version uint64
 	faults  faults
 	rng     *rand.Rand
-	later   []platform.Transaction
+	later   []storage.Transaction
 	commits int
 	reads   int
 }
 
 func newFakeTable(seed int64) *fakeTable {
-	return &fakeTable{rows: make(map[string]platform.Row), rng: rand.New(rand.NewSource(seed))}
+	return &fakeTable{rows: make(map[string]storage.Row), rng: rand.New(rand.NewSource(seed))}
 }
 
-func unavailable(op string, outcome platform.Outcome) error {
-	return &platform.Error{Op: op, Kind: platform.KindUnavailable, Outcome: outcome}
+func unavailable(op string, outcome storage.Outcome) error {
+	return &storage.Error{Op: op, Kind: storage.KindUnavailable, Outcome: outcome}
 }
 
 func (f *fakeTable) hit(p float64) bool { return p > 0 && f.rng.Float64() < p }
 
-func (f *fakeTable) Commit(_ context.Context, txn platform.Transaction) (platform.Commit, error) {
+func (f *fakeTable) Commit(_ context.Context, txn storage.Transaction) (storage.Commit, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.runLater()
 	f.commits++
 	if f.faults.down {
-		return platform.Commit{}, unavailable("table.commit", platform.OutcomeUnknown)
+		return storage.Commit{}, unavailable("table.commit", storage.OutcomeUnknown)
 	}
 	if f.hit(f.faults.delayed) {
 		f.later = append(f.later, txn)
-		return platform.Commit{}, unavailable("table.commit", platform.OutcomeUnknown)
+		return storage.Commit{}, unavailable("table.commit", storage.OutcomeUnknown)
 	}
 	if f.hit(f.faults.duplicate) {
 		f.later = append(f.later, txn)
 	}
 	version, err := f.apply(txn)
 	if f.hit(f.faults.lost) {
-		return platform.Commit{}, unavailable("table.commit", platform.OutcomeUnknown)
+		return storage.Commit{}, unavailable("table.commit", storage.OutcomeUnknown)
 	}
-	return platform.Commit{Version: version}, err
+	return storage.Commit{Version: version}, err
 }
 
 // runLater tries delayed writes, each with an even chance.
 func (f *fakeTable) runLater() {
-	var keep []platform.Transaction
+	var keep []storage.Transaction
 	for _, txn := range f.later {
 		if f.rng.Intn(2) == 0 {
 			keep = append(keep, txn)
@@ -75,18 +75,18 @@
 	f.later = keep
 }
 
-func (f *fakeTable) apply(txn platform.Transaction) (uint64, error) {
+func (f *fakeTable) apply(txn storage.Transaction) (uint64, error) {
 	for _, c := range txn.Conditions {
 		if f.rows[c.Key].Version != c.Version {
-			return 0, &platform.Error{
-				Op: "table.commit", Kind: platform.KindConflict,
-				Outcome: platform.OutcomeNotDone, Key: c.Key,
+			return 0, &storage.Error{
+				Op: "table.commit", Kind: storage.KindConflict,
+				Outcome: storage.OutcomeNotDone, Key: c.Key,
 			}
 		}
 	}
 	f.version++
 	for _, p := range txn.Puts {
-		f.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: f.version, Writer: txn.ID}
+		f.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: f.version, Writer: txn.ID}
 	}
 	for _, key := range txn.Deletes {
 		delete(f.rows, key)
@@ -94,14 +94,14 @@
 	return f.version, nil
 }
 
-func (f *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if f.faults.down {
-		return nil, unavailable("table.get", platform.OutcomeNotDone)
+		return nil, unavailable("table.get", storage.OutcomeNotDone)
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range slices.Sorted(slices.Values(keys)) {
 		if r, ok := f.rows[key]; ok {
 			rows = append(rows, r)
@@ -110,24 +110,24 @@
 	return rows, nil
 }
 
-func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (f *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.reads++
 	if f.faults.down {
-		return nil, unavailable("table.list", platform.OutcomeNotDone)
+		return nil, unavailable("table.list", storage.OutcomeNotDone)
 	}
-	var rows []platform.Row
+	var rows []storage.Row
 	for key, r := range f.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			rows = append(rows, r)
 		}
 	}
-	slices.SortFunc(rows, func(x, y platform.Row) int { return strings.Compare(x.Key, y.Key) })
+	slices.SortFunc(rows, func(x, y storage.Row) int { return strings.Compare(x.Key, y.Key) })
 	return rows[:min(len(rows), limit)], nil
 }
 
-func (f *fakeTable) Watch(ctx context.Context, _ string, _ uint64) ([]platform.Row, error) {
+func (f *fakeTable) Watch(ctx context.Context, _ string, _ uint64) ([]storage.Row, error) {
 	<-ctx.Done()
 	return nil, nil
 }
@@ -148,14 +148,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.faults.down {
-		return unavailable("objects.put", platform.OutcomeUnknown)
+		return unavailable("objects.put", storage.OutcomeUnknown)
 	}
 	if _, ok := f.objects[key]; ok {
-		return &platform.Error{Op: "objects.put", Kind: platform.KindConflict, Outcome: platform.OutcomeNotDone, Key: key}
+		return &storage.Error{Op: "objects.put", Kind: storage.KindConflict, Outcome: storage.OutcomeNotDone, Key: key}
 	}
 	f.objects[key] = slices.Clone(data)
 	if f.faults.lost > 0 && f.rng.Float64() < f.faults.lost {
-		return unavailable("objects.put", platform.OutcomeUnknown)
+		return unavailable("objects.put", storage.OutcomeUnknown)
 	}
 	return nil
 }
@@ -164,11 +164,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.faults.down {
-		return nil, unavailable("objects.get", platform.OutcomeNotDone)
+		return nil, unavailable("objects.get", storage.OutcomeNotDone)
 	}
 	data, ok := f.objects[key]
 	if !ok {
-		return nil, &platform.Error{Op: "objects.get", Kind: platform.KindNotFound, Outcome: platform.OutcomeNotDone, Key: key}
+		return nil, &storage.Error{Op: "objects.get", Kind: storage.KindNotFound, Outcome: storage.OutcomeNotDone, Key: key}
 	}
 	return data, nil
 }
--- a/credit/options.go
+++ b/credit/options.go
@@ -11,7 +11,7 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // Fencer closes grants at every agent that could hold receipts of them. It
@@ -33,8 +33,8 @@
 	// Self is this router's VM and incarnation.
 	Self    *pb.ProcessId
 	Region  string
-	Table   platform.Table
-	Objects platform.ObjectStore
+	Table   storage.Table
+	Objects storage.ObjectStore
 	// Config returns the configuration in force; nil before the first.
 	Config func() (*config.Document, uint64)
 	// Fencer may be nil; nothing is reclaimed then.
--- a/credit/reclaim.go
+++ b/credit/reclaim.go
@@ -12,7 +12,7 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/invariant"
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -153,7 +153,7 @@
 	return list
 }
 
-func (s *Service) reclaimRow(ctx context.Context, r platform.Row) error {
+func (s *Service) reclaimRow(ctx context.Context, r storage.Row) error {
 	var row ledger.GrantRow
 	err := json.Unmarshal(r.Value, &row)
 	invariant.Assert(err == nil, "grant row decodes", "key", r.Key, "error", err)
@@ -203,10 +203,10 @@
 	if err := s.writes.Wait(ctx); err != nil {
 		return errors.WithStack(err)
 	}
-	commit, err := s.commit(ctx, platform.Transaction{
+	commit, err := s.commit(ctx, storage.Transaction{
 		ID:         s.foreignWriteID(),
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
 	if err != nil {
 		return err
@@ -371,7 +371,7 @@
 		return ledger.Rows{}, err
 	}
 	if len(rows) == 0 {
-		return ledger.Rows{}, &platform.Error{Op: "table.get", Kind: platform.KindNotFound, Key: key}
+		return ledger.Rows{}, &storage.Error{Op: "table.get", Kind: storage.KindNotFound, Key: key}
 	}
 	result := ledger.Rows{Grant: row, GrantVersion: version, LotVersion: rows[0].Version}
 	if err := json.Unmarshal(rows[0].Value, &result.Lot); err != nil {
--- a/credit/service_test.go
+++ b/credit/service_test.go
@@ -9,8 +9,8 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
 	"jackdawswitch/refusal"
+	"jackdawswitch/storage"
 )
 
 var ctx = context.Background()
@@ -23,7 +23,7 @@
 	}
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	_, err = table.apply(platform.Transaction{ID: "test", Puts: []platform.Put{{Key: key, Value: value}}})
+	_, err = table.apply(storage.Transaction{ID: "test", Puts: []storage.Put{{Key: key, Value: value}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/credit/simulate/fleet.go
+++ b/credit/simulate/fleet.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -81,7 +81,7 @@
 	params
 	now     time.Time
 	rng     *rand.Rand
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	version uint64
 	homes   []*home
 	places  []*place
@@ -99,7 +99,7 @@
 		params: p,
 		now:    time.Unix(1_000_000, 0),
 		rng:    rand.New(rand.NewPCG(1, 2)),
-		rows:   make(map[string]platform.Row),
+		rows:   make(map[string]storage.Row),
 		spent:  make([]int64, p.lots),
 	}
 	for i := range p.routers {
@@ -139,7 +139,7 @@
 func lotID(lot int) string { return fmt.Sprintf("lot%d", lot) }
 
 func (f *fleet) observe(h *home, ws string, lot int) {
-	h.book.ObserveRows([]platform.Row{f.rows[ledger.LotKey(ws, lotID(lot))]}, f.now)
+	h.book.ObserveRows([]storage.Row{f.rows[ledger.LotKey(ws, lotID(lot))]}, f.now)
 	h.book.ObserveWorkspace(ws, f.now)
 }
 
@@ -149,7 +149,7 @@
 		panic(err)
 	}
 	f.version++
-	f.rows[key] = platform.Row{Key: key, Value: value, Version: f.version}
+	f.rows[key] = storage.Row{Key: key, Value: value, Version: f.version}
 }
 
 func keyOf(p *place) string { return ledger.LotKey(p.workspace, lotID(p.lot)) }
@@ -260,7 +260,7 @@
 		return
 	}
 	for _, key := range keys {
-		h.book.ObserveRows([]platform.Row{f.rows[key]}, f.now)
+		h.book.ObserveRows([]storage.Row{f.rows[key]}, f.now)
 	}
 	w := h.book.PlanGrants(keys, f.now)
 	h.book.ForgetAll()
@@ -273,7 +273,7 @@
 func (f *fleet) commit(h *home, w *ledger.Write) {
 	f.version++
 	for _, p := range w.Txn.Puts {
-		f.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: f.version, Writer: w.Txn.ID}
+		f.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: f.version, Writer: w.Txn.ID}
 	}
 	f.counts.rows += len(w.Txn.Puts)
 	h.book.Done(w, f.version, f.now)
--- a/credit/transfer.go
+++ b/credit/transfer.go
@@ -9,7 +9,7 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -63,7 +63,7 @@
 	return true
 }
 
-func rowsOf(rows []platform.Row) []ledger.GrantRow {
+func rowsOf(rows []storage.Row) []ledger.GrantRow {
 	grants := make([]ledger.GrantRow, 0, len(rows))
 	for _, r := range rows {
 		var grant ledger.GrantRow
--- a/credit/writer.go
+++ b/credit/writer.go
@@ -10,7 +10,7 @@
 
 	"jackdawswitch/config"
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -184,8 +184,8 @@
 	return list
 }
 
-func (s *Service) listRows(ctx context.Context, prefix string) ([]platform.Row, error) {
-	var all []platform.Row
+func (s *Service) listRows(ctx context.Context, prefix string) ([]storage.Row, error) {
+	var all []storage.Row
 	after := ""
 	for {
 		page, err := s.listPage(ctx, prefix, after)
@@ -200,13 +200,13 @@
 	}
 }
 
-func (s *Service) listPage(ctx context.Context, prefix, after string) ([]platform.Row, error) {
+func (s *Service) listPage(ctx context.Context, prefix, after string) ([]storage.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return s.opts.Table.List(ctx, prefix, after, pageSize)
 }
 
-func (s *Service) get(ctx context.Context, keys []string) ([]platform.Row, error) {
+func (s *Service) get(ctx context.Context, keys []string) ([]storage.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return s.opts.Table.Get(ctx, keys...)
@@ -297,13 +297,13 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	err := s.opts.Objects.PutIfAbsent(ctx, ledger.BatchKey(write.BatchID), write.BatchBody)
-	if platform.IsKind(err, platform.KindConflict) {
+	if storage.IsKind(err, storage.KindConflict) {
 		return nil
 	}
 	return err
 }
 
-func (s *Service) commit(ctx context.Context, txn platform.Transaction) (platform.Commit, error) {
+func (s *Service) commit(ctx context.Context, txn storage.Transaction) (storage.Commit, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.opts.Metrics.Counter("credit_commits").Inc(1)
@@ -343,7 +343,7 @@
 	s.broadcast()
 }
 
-func (s *Service) resolveNotDone(write *ledger.Write, rows []platform.Row, at time.Time) {
+func (s *Service) resolveNotDone(write *ledger.Write, rows []storage.Row, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight = nil
--- a/ctl/config.go
+++ b/ctl/config.go
@@ -10,7 +10,7 @@
 
 	"jackdawswitch/config"
 	"jackdawswitch/configsync"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // FileError tells that a file could not be read.
@@ -101,7 +101,7 @@
 // base returns the version that a file is based on. It must be given once
 // there is a configuration: a file replaces all of it, so that a base taken on
 // trust would undo what others changed since the operator looked.
-func (t *Tool) base(ctx context.Context, table platform.Table, objects platform.ObjectStore, file string) (uint64, error) {
+func (t *Tool) base(ctx context.Context, table storage.Table, objects storage.ObjectStore, file string) (uint64, error) {
 	if t.flags.base >= 0 {
 		return uint64(t.flags.base), nil
 	}
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -11,8 +11,8 @@
 	"github.com/pkg/errors"
 
 	"jackdawswitch/configsync"
-	"jackdawswitch/platform"
 	"jackdawswitch/settings"
+	"jackdawswitch/storage"
 	"jackdawswitch/strictjson"
 )
 
@@ -32,7 +32,7 @@
 	Stderr  io.Writer
 	Getenv  func(name string) string
 	// Open returns the clients of the platform at the given addresses.
-	Open func(at settings.Platform) (platform.Table, platform.ObjectStore, error)
+	Open func(at settings.Platform) (storage.Table, storage.ObjectStore, error)
 	// HTTP calls the daemons; nil means http.DefaultTransport.
 	HTTP http.RoundTripper
 	// Extra are further commands.
@@ -85,7 +85,7 @@
 }
 
 // OpenPlatform returns the clients of the platform's table and object store.
-func (t *Tool) OpenPlatform() (platform.Table, platform.ObjectStore, error) {
+func (t *Tool) OpenPlatform() (storage.Table, storage.ObjectStore, error) {
 	if t.Platform.Table == "" || t.Platform.ObjectStore == "" {
 		return nil, nil, &UsageError{Problem: "--table and --objects, or JACKDAW_TABLE and JACKDAW_OBJECTS, must be set"}
 	}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -15,9 +15,9 @@
 
 	"jackdawswitch/claim"
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform"
 	"jackdawswitch/settings"
 	"jackdawswitch/standin"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -72,7 +72,7 @@
 	code := Run(context.Background(), args, Options{
 		Version: "test", Stdout: &out, Stderr: &errs, HTTP: b.http,
 		Getenv: func(name string) string { return b.env[name] },
-		Open: func(settings.Platform) (platform.Table, platform.ObjectStore, error) {
+		Open: func(settings.Platform) (storage.Table, storage.ObjectStore, error) {
 			return b.table, b.objects, nil
 		},
 	})
@@ -130,7 +130,7 @@
 
 func (b *bench) put(key, value string) {
 	b.t.Helper()
-	txn := platform.Transaction{ID: key, Puts: []platform.Put{{Key: key, Value: []byte(value)}}}
+	txn := storage.Transaction{ID: key, Puts: []storage.Put{{Key: key, Value: []byte(value)}}}
 	if _, err := b.table.Commit(b.t.Context(), txn); err != nil {
 		b.t.Fatal(err)
 	}
--- a/e2e/programs_test.go
+++ b/e2e/programs_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"jackdawswitch/ledger"
-	"jackdawswitch/platform/tablehttp"
 	"jackdawswitch/quickstart"
+	"jackdawswitch/storage/tablehttp"
 )
 
 // ctl runs jackdawctl and returns its output.
--- a/home/claimed.go
+++ b/home/claimed.go
@@ -9,13 +9,13 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/claim"
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
 	"jackdawswitch/refusal"
+	"jackdawswitch/storage"
 )
 
 // claimed answers a request whose key is durably claimed by another home, or
 // by this one before it lost its memory of it.
-func (s *Server) claimed(ctx context.Context, req claim.Request, found platform.Row) (*pb.ReserveResponse, *refusal.Error) {
+func (s *Server) claimed(ctx context.Context, req claim.Request, found storage.Row) (*pb.ReserveResponse, *refusal.Error) {
 	row, err := claim.DecodeRow(found.Key, found.Value)
 	if err != nil {
 		s.opts.Logger.Error("claim unreadable", "row", found.Key, "err", err)
--- a/home/claims.go
+++ b/home/claims.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"jackdawswitch/claim"
-	"jackdawswitch/platform"
 	"jackdawswitch/refusal"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -32,14 +32,14 @@
 // first, or a refusal.
 type claimResult struct {
 	fence    uint64
-	existing *platform.Row
+	existing *storage.Row
 	err      *refusal.Error
 }
 
 // claimWriter commits claims in groups: those that arrive while a transaction
 // is under way share the next one.
 type claimWriter struct {
-	table  platform.Table
+	table  storage.Table
 	timing Timing
 	prefix string
 	// abandoned is told of claims that may stand though nobody waits.
@@ -140,7 +140,7 @@
 			w.succeed(group, res.Version)
 			return
 		}
-		if platform.IsKind(err, platform.KindConflict) {
+		if storage.IsKind(err, storage.KindConflict) {
 			rest, ok := w.conflicts(group, txn.ID)
 			if ok && len(rest) == 0 {
 				return
@@ -170,15 +170,15 @@
 	return w.timing.ClaimPatience
 }
 
-func (w *claimWriter) transaction(group []*claimOp) platform.Transaction {
+func (w *claimWriter) transaction(group []*claimOp) storage.Transaction {
 	w.mu.Lock()
 	w.serial++
 	serial := w.serial
 	w.mu.Unlock()
-	txn := platform.Transaction{ID: fmt.Sprintf("%s.claim.%d", w.prefix, serial)}
+	txn := storage.Transaction{ID: fmt.Sprintf("%s.claim.%d", w.prefix, serial)}
 	for _, op := range group {
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: op.rowKey, Version: op.version})
-		txn.Puts = append(txn.Puts, platform.Put{Key: op.rowKey, Value: op.row.Encode()})
+		txn.Conditions = append(txn.Conditions, storage.Condition{Key: op.rowKey, Version: op.version})
+		txn.Puts = append(txn.Puts, storage.Put{Key: op.rowKey, Value: op.row.Encode()})
 	}
 	return txn
 }
@@ -196,7 +196,7 @@
 	if err != nil {
 		return nil, false
 	}
-	found := make(map[string]platform.Row, len(rows))
+	found := make(map[string]storage.Row, len(rows))
 	for _, row := range rows {
 		found[row.Key] = row
 	}
--- a/home/collect.go
+++ b/home/collect.go
@@ -7,7 +7,7 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/claim"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // collectPage is the number of claims looked at in one step.
@@ -65,14 +65,14 @@
 		return
 	}
 	c.serial++
-	txn := platform.Transaction{ID: s.claims.prefix + ".collect." + strconv.Itoa(c.serial)}
+	txn := storage.Transaction{ID: s.claims.prefix + ".collect." + strconv.Itoa(c.serial)}
 	for _, found := range rows {
 		c.after = found.Key
 		row, err := claim.DecodeRow(found.Key, found.Value)
 		if err != nil || !expired(row, s.opts.Timing.ClaimKeep) {
 			continue
 		}
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: found.Key, Version: found.Version})
+		txn.Conditions = append(txn.Conditions, storage.Condition{Key: found.Key, Version: found.Version})
 		txn.Deletes = append(txn.Deletes, found.Key)
 	}
 	if len(txn.Deletes) > 0 {
@@ -94,15 +94,15 @@
 
 // removeRow deletes a row if its value still may go. A failure leaves the row
 // to the next round.
-func removeRow(ctx context.Context, table platform.Table, rowKey string, may func(value []byte) bool) {
+func removeRow(ctx context.Context, table storage.Table, rowKey string, may func(value []byte) bool) {
 	rows, err := table.Get(ctx, rowKey)
 	if err != nil || len(rows) == 0 || !may(rows[0].Value) {
 		return
 	}
 	version := rows[0].Version
-	_, _ = table.Commit(ctx, platform.Transaction{
+	_, _ = table.Commit(ctx, storage.Transaction{
 		ID:         rowKey + ".remove." + strconv.FormatUint(version, 10),
-		Conditions: []platform.Condition{{Key: rowKey, Version: version}},
+		Conditions: []storage.Condition{{Key: rowKey, Version: version}},
 		Deletes:    []string{rowKey},
 	})
 }
--- a/home/marks.go
+++ b/home/marks.go
@@ -8,7 +8,7 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/claim"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 const maxMarksPerTransaction = 64
@@ -50,7 +50,7 @@
 // end that is lost with the process leaves the claim as it stood, which never
 // lets the request run again.
 type markWriter struct {
-	table  platform.Table
+	table  storage.Table
 	timing Timing
 	prefix string
 
@@ -128,13 +128,13 @@
 	if err != nil {
 		return err
 	}
-	found := make(map[string]platform.Row, len(rows))
+	found := make(map[string]storage.Row, len(rows))
 	for _, row := range rows {
 		found[row.Key] = row
 	}
 	w.mu.Lock()
 	w.serial++
-	txn := platform.Transaction{ID: fmt.Sprintf("%s.mark.%d", w.prefix, w.serial)}
+	txn := storage.Transaction{ID: fmt.Sprintf("%s.mark.%d", w.prefix, w.serial)}
 	w.mu.Unlock()
 	for _, m := range group {
 		addMark(&txn, m, found[claim.RowKey(m.key)])
@@ -150,7 +150,7 @@
 
 // addMark adds the row's change, unless the row tells that it is made already
 // or that the claim is another one by now.
-func addMark(txn *platform.Transaction, m mark, found platform.Row) {
+func addMark(txn *storage.Transaction, m mark, found storage.Row) {
 	if found.Version == 0 && m.fresh {
 		addFresh(txn, m)
 		return
@@ -177,13 +177,13 @@
 	if m.attempt != "" && m.state != claim.RowReleased {
 		row.Attempt = m.attempt
 	}
-	txn.Conditions = append(txn.Conditions, platform.Condition{Key: found.Key, Version: found.Version})
-	txn.Puts = append(txn.Puts, platform.Put{Key: found.Key, Value: row.Encode()})
+	txn.Conditions = append(txn.Conditions, storage.Condition{Key: found.Key, Version: found.Version})
+	txn.Puts = append(txn.Puts, storage.Put{Key: found.Key, Value: row.Encode()})
 	indexUnknown(txn, m)
 }
 
 // addFresh adds the row of a generated key whose outcome is unknown.
-func addFresh(txn *platform.Transaction, m mark) {
+func addFresh(txn *storage.Transaction, m mark) {
 	row := claim.Row{
 		Workspace:    m.key.Workspace,
 		Key:          m.key.Name,
@@ -200,20 +200,20 @@
 		Claimed:      m.at,
 	}
 	rowKey := claim.RowKey(m.key)
-	txn.Conditions = append(txn.Conditions, platform.Condition{Key: rowKey})
-	txn.Puts = append(txn.Puts, platform.Put{Key: rowKey, Value: row.Encode()})
+	txn.Conditions = append(txn.Conditions, storage.Condition{Key: rowKey})
+	txn.Puts = append(txn.Puts, storage.Put{Key: rowKey, Value: row.Encode()})
 	indexUnknown(txn, m)
 }
 
 // indexUnknown keeps the index of unknown outcomes in step with the row.
-func indexUnknown(txn *platform.Transaction, m mark) {
+func indexUnknown(txn *storage.Transaction, m mark) {
 	index := claim.UnknownKey(m.key)
 	if m.state != claim.RowUnknown {
 		txn.Deletes = append(txn.Deletes, index)
 		return
 	}
 	value := encode(claim.Unknown{Workspace: m.key.Workspace, Key: m.key.Name, Since: m.at})
-	txn.Puts = append(txn.Puts, platform.Put{Key: index, Value: value})
+	txn.Puts = append(txn.Puts, storage.Put{Key: index, Value: value})
 }
 
 // settled forgets marks that were not replaced meanwhile.
--- a/home/operator.go
+++ b/home/operator.go
@@ -7,7 +7,7 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/claim"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 const operatorPage = 500
@@ -27,7 +27,7 @@
 // and whose outcome is unknown: whether it ran. A request that did not run may
 // be sent again with its key. The change is conditional, so it may be repeated
 // when the answer is lost.
-func Resolve(ctx context.Context, table platform.Table, key claim.Key, ran bool, operator, id string) error {
+func Resolve(ctx context.Context, table storage.Table, key claim.Key, ran bool, operator, id string) error {
 	rowKey := claim.RowKey(key)
 	rows, err := table.Get(ctx, rowKey)
 	if err != nil {
@@ -51,10 +51,10 @@
 		row.State = claim.RowFinished
 		row.RunState = pb.RunState_RUN_STATE_COMPLETED
 	}
-	_, err = table.Commit(ctx, platform.Transaction{
+	_, err = table.Commit(ctx, storage.Transaction{
 		ID:         id,
-		Conditions: []platform.Condition{{Key: rowKey, Version: rows[0].Version}},
-		Puts:       []platform.Put{{Key: rowKey, Value: row.Encode()}},
+		Conditions: []storage.Condition{{Key: rowKey, Version: rows[0].Version}},
+		Puts:       []storage.Put{{Key: rowKey, Value: row.Encode()}},
 		Deletes:    []string{claim.UnknownKey(key)},
 	})
 	return err
@@ -62,7 +62,7 @@
 
 // ListUnknown returns up to limit unknown outcomes, of all workspaces when
 // workspace is empty.
-func ListUnknown(ctx context.Context, table platform.Table, workspace string, limit int) ([]claim.Unknown, error) {
+func ListUnknown(ctx context.Context, table storage.Table, workspace string, limit int) ([]claim.Unknown, error) {
 	prefix := claim.UnknownPrefix
 	if workspace != "" {
 		prefix += workspace + "/"
@@ -93,7 +93,7 @@
 }
 
 // ListQuarantine returns the crash records that count now.
-func ListQuarantine(ctx context.Context, table platform.Table, now time.Time, policy claim.CrashPolicy) ([]Quarantined, error) {
+func ListQuarantine(ctx context.Context, table storage.Table, now time.Time, policy claim.CrashPolicy) ([]Quarantined, error) {
 	var out []Quarantined
 	after := ""
 	for {
@@ -126,24 +126,24 @@
 
 // ReleaseQuarantine lets a request run again: its crashes up to now no longer
 // count. Body is the hex hash of its body.
-func ReleaseQuarantine(ctx context.Context, table platform.Table, now time.Time, workspace, body, id string) error {
+func ReleaseQuarantine(ctx context.Context, table storage.Table, now time.Time, workspace, body, id string) error {
 	rowKey := claim.CrashPrefix + workspace + "/" + body
 	rows, err := table.Get(ctx, rowKey)
 	if err != nil {
 		return err
 	}
 	if len(rows) == 0 {
-		return &platform.Error{Op: "quarantine.release", Kind: platform.KindNotFound, Outcome: platform.OutcomeNotDone, Key: rowKey}
+		return &storage.Error{Op: "quarantine.release", Kind: storage.KindNotFound, Outcome: storage.OutcomeNotDone, Key: rowKey}
 	}
 	var record claim.CrashRecord
 	if err := json.Unmarshal(rows[0].Value, &record); err != nil {
 		return &claim.RowError{Key: rowKey, Cause: err}
 	}
 	record.Released = now
-	_, err = table.Commit(ctx, platform.Transaction{
+	_, err = table.Commit(ctx, storage.Transaction{
 		ID:         id,
-		Conditions: []platform.Condition{{Key: rowKey, Version: rows[0].Version}},
-		Puts:       []platform.Put{{Key: rowKey, Value: encode(record)}},
+		Conditions: []storage.Condition{{Key: rowKey, Version: rows[0].Version}},
+		Puts:       []storage.Put{{Key: rowKey, Value: encode(record)}},
 	})
 	return err
 }
--- a/home/options.go
+++ b/home/options.go
@@ -14,8 +14,8 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/claim"
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
 	"jackdawswitch/refusal"
+	"jackdawswitch/storage"
 )
 
 // Reservation is credit held for one request.
@@ -79,7 +79,7 @@
 	Self    *pb.ProcessId
 	Region  string
 	Credit  Credit
-	Table   platform.Table
+	Table   storage.Table
 	Config  func() (*config.Document, uint64)
 	Members Members
 	Agents  Agents
--- a/home/quarantine.go
+++ b/home/quarantine.go
@@ -12,14 +12,14 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/claim"
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
 	"jackdawswitch/refusal"
+	"jackdawswitch/storage"
 )
 
 // crashBook holds the crash records of the fleet: those this home made, and
 // those it reads from the table.
 type crashBook struct {
-	table  platform.Table
+	table  storage.Table
 	prefix string
 
 	mu      sync.Mutex
@@ -30,7 +30,7 @@
 	seen   uint64
 }
 
-func newCrashBook(table platform.Table, prefix string) *crashBook {
+func newCrashBook(table storage.Table, prefix string) *crashBook {
 	return &crashBook{
 		table:   table,
 		prefix:  prefix,
@@ -100,7 +100,7 @@
 	return b.seen
 }
 
-func (b *crashBook) learn(rows []platform.Row) {
+func (b *crashBook) learn(rows []storage.Row) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, row := range rows {
@@ -109,7 +109,7 @@
 	}
 }
 
-func (b *crashBook) mergeLocked(row platform.Row) {
+func (b *crashBook) mergeLocked(row storage.Row) {
 	var other claim.CrashRecord
 	if json.Unmarshal(row.Value, &other) != nil {
 		return
@@ -159,10 +159,10 @@
 	id := fmt.Sprintf("%s.crash.%d", b.prefix, b.serial)
 	delete(b.dirty, rowKey)
 	b.mu.Unlock()
-	_, err = b.table.Commit(ctx, platform.Transaction{
+	_, err = b.table.Commit(ctx, storage.Transaction{
 		ID:         id,
-		Conditions: []platform.Condition{{Key: rowKey, Version: version}},
-		Puts:       []platform.Put{{Key: rowKey, Value: value}},
+		Conditions: []storage.Condition{{Key: rowKey, Version: version}},
+		Puts:       []storage.Put{{Key: rowKey, Value: value}},
 	})
 	if err != nil {
 		b.mu.Lock()
--- a/home/reserve.go
+++ b/home/reserve.go
@@ -6,8 +6,8 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/claim"
-	"jackdawswitch/platform"
 	"jackdawswitch/refusal"
+	"jackdawswitch/storage"
 )
 
 // freshFence is the fencing number of a generated key's claim, which needs no
@@ -336,7 +336,7 @@
 
 // mayTake reports whether a claim that stands may be replaced, because its
 // request is known not to have run.
-func (s *Server) mayTake(found platform.Row, row claim.Row) bool {
+func (s *Server) mayTake(found storage.Row, row claim.Row) bool {
 	return row.State == claim.RowReleased || s.marks.isReleased(found.Key, row, found.Version)
 }
 
--- a/home/table_test.go
+++ b/home/table_test.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // fault is what happens to one call of the fake table.
@@ -30,7 +30,7 @@
 // fakeTable is a transactional table in memory, with faults.
 type fakeTable struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	version uint64
 	commits int
 	// fault picks the fault of a call; nil means none.
@@ -40,7 +40,7 @@
 }
 
 func newFakeTable() *fakeTable {
-	return &fakeTable{rows: make(map[string]platform.Row)}
+	return &fakeTable{rows: make(map[string]storage.Row)}
 }
 
 func (t *fakeTable) setDelay(d time.Duration) {
@@ -66,57 +66,57 @@
 }
 
 func lost(op string) error {
-	return &platform.Error{Op: op, Kind: platform.KindTimeout, Outcome: platform.OutcomeUnknown}
+	return &storage.Error{Op: op, Kind: storage.KindTimeout, Outcome: storage.OutcomeUnknown}
 }
 
-func (t *fakeTable) Commit(_ context.Context, txn platform.Transaction) (platform.Commit, error) {
+func (t *fakeTable) Commit(_ context.Context, txn storage.Transaction) (storage.Commit, error) {
 	t.mu.Lock()
 	delay := t.delay
 	t.mu.Unlock()
 	time.Sleep(delay)
 	switch t.pick("commit") {
 	case faultDrop:
-		return platform.Commit{}, lost("table.commit")
+		return storage.Commit{}, lost("table.commit")
 	case faultLose:
 		_, _ = t.apply(txn)
-		return platform.Commit{}, lost("table.commit")
+		return storage.Commit{}, lost("table.commit")
 	case faultLate:
 		time.AfterFunc(lateDelay, func() { _, _ = t.apply(txn) })
-		return platform.Commit{}, lost("table.commit")
+		return storage.Commit{}, lost("table.commit")
 	default:
 		return t.apply(txn)
 	}
 }
 
-func (t *fakeTable) apply(txn platform.Transaction) (platform.Commit, error) {
+func (t *fakeTable) apply(txn storage.Transaction) (storage.Commit, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, cond := range txn.Conditions {
 		if t.rows[cond.Key].Version != cond.Version {
-			return platform.Commit{}, &platform.Error{
-				Op: "table.commit", Kind: platform.KindConflict,
-				Outcome: platform.OutcomeNotDone, Key: cond.Key,
+			return storage.Commit{}, &storage.Error{
+				Op: "table.commit", Kind: storage.KindConflict,
+				Outcome: storage.OutcomeNotDone, Key: cond.Key,
 			}
 		}
 	}
 	t.version++
 	t.commits++
 	for _, put := range txn.Puts {
-		t.rows[put.Key] = platform.Row{Key: put.Key, Value: put.Value, Version: t.version, Writer: txn.ID}
+		t.rows[put.Key] = storage.Row{Key: put.Key, Value: put.Value, Version: t.version, Writer: txn.ID}
 	}
 	for _, key := range txn.Deletes {
 		delete(t.rows, key)
 	}
-	return platform.Commit{Version: t.version}, nil
+	return storage.Commit{Version: t.version}, nil
 }
 
-func (t *fakeTable) Get(_ context.Context, keys ...string) ([]platform.Row, error) {
+func (t *fakeTable) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
 	if t.pick("get") != faultNone {
 		return nil, lost("table.get")
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []platform.Row
+	var out []storage.Row
 	for _, key := range slices.Sorted(slices.Values(keys)) {
 		if row, ok := t.rows[key]; ok {
 			out = append(out, row)
@@ -125,26 +125,26 @@
 	return out, nil
 }
 
-func (t *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *fakeTable) List(_ context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	if t.pick("list") != faultNone {
 		return nil, lost("table.list")
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []platform.Row
+	var out []storage.Row
 	for key, row := range t.rows {
 		if strings.HasPrefix(key, prefix) && key > after {
 			out = append(out, row)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+	slices.SortFunc(out, func(a, b storage.Row) int { return cmp.Compare(a.Key, b.Key) })
 	return out[:min(limit, len(out))], nil
 }
 
-func (t *fakeTable) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Row, error) {
+func (t *fakeTable) Watch(ctx context.Context, prefix string, after uint64) ([]storage.Row, error) {
 	for {
 		t.mu.Lock()
-		var out []platform.Row
+		var out []storage.Row
 		for key, row := range t.rows {
 			if strings.HasPrefix(key, prefix) && row.Version > after {
 				out = append(out, row)
@@ -152,7 +152,7 @@
 		}
 		t.mu.Unlock()
 		if len(out) > 0 {
-			slices.SortFunc(out, func(a, b platform.Row) int { return cmp.Compare(a.Version, b.Version) })
+			slices.SortFunc(out, func(a, b storage.Row) int { return cmp.Compare(a.Version, b.Version) })
 			return out, nil
 		}
 		select {
--- a/ledger/faults_test.go
+++ b/ledger/faults_test.go
@@ -6,7 +6,7 @@
 	"maps"
 	"slices"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // replace declares a home dead and starts its successor. The old process may
@@ -33,7 +33,7 @@
 	if row.State == GrantOpen {
 		if w.dead[row.Holder] {
 			value, _ := json.Marshal(BeginReclaim(row, h.self))
-			w.apply(platform.Transaction{ID: id, Conditions: []platform.Condition{{Key: r.Key, Version: r.Version}}, Puts: []platform.Put{{Key: r.Key, Value: value}}})
+			w.apply(storage.Transaction{ID: id, Conditions: []storage.Condition{{Key: r.Key, Version: r.Version}}, Puts: []storage.Put{{Key: r.Key, Value: value}}})
 		}
 		return
 	}
--- a/ledger/proof_test.go
+++ b/ledger/proof_test.go
@@ -11,7 +11,7 @@
 
 	"pgregory.net/rapid"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 var soak = flag.Duration("soak", 0, "how long to run the soak test; 0 skips it")
@@ -91,10 +91,10 @@
 	row.Budget += 50
 	value, _ := json.Marshal(row)
 	w.writes++
-	w.apply(platform.Transaction{
+	w.apply(storage.Transaction{
 		ID:         fmt.Sprintf("apply.%d", w.writes),
-		Conditions: []platform.Condition{{Key: key, Version: w.rows[key].Version}},
-		Puts:       []platform.Put{{Key: key, Value: value}},
+		Conditions: []storage.Condition{{Key: key, Version: w.rows[key].Version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
 	})
 }
 
--- a/ledger/world_test.go
+++ b/ledger/world_test.go
@@ -10,7 +10,7 @@
 
 	"pgregory.net/rapid"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // world is a fleet in memory: a table, agents, and the books of two homes of
@@ -18,9 +18,9 @@
 type world struct {
 	t       *rapid.T
 	now     time.Time
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	version uint64
-	later   []platform.Transaction
+	later   []storage.Transaction
 	objects map[string][]byte
 	homes   []*home // the current two, then those declared dead that run on
 	dead    map[Holder]bool
@@ -59,7 +59,7 @@
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		t: t, now: time.Unix(1_000_000, 0), version: 10,
-		rows: map[string]platform.Row{}, objects: map[string][]byte{},
+		rows: map[string]storage.Row{}, objects: map[string][]byte{},
 		dead: map[Holder]bool{}, fenced: map[string]bool{}, runs: map[string]*run{},
 		passed: map[string]bool{},
 	}
@@ -86,10 +86,10 @@
 func (w *world) putRow(key string, row any) {
 	value, _ := json.Marshal(row)
 	w.version++
-	w.rows[key] = platform.Row{Key: key, Value: value, Version: w.version}
+	w.rows[key] = storage.Row{Key: key, Value: value, Version: w.version}
 }
 
-func (w *world) apply(txn platform.Transaction) bool {
+func (w *world) apply(txn storage.Transaction) bool {
 	for _, c := range txn.Conditions {
 		if w.rows[c.Key].Version != c.Version {
 			return false
@@ -97,13 +97,13 @@
 	}
 	w.version++
 	for _, p := range txn.Puts {
-		w.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: w.version, Writer: txn.ID}
+		w.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: w.version, Writer: txn.ID}
 	}
 	return true
 }
 
-func (w *world) get(keys ...string) []platform.Row {
-	var rows []platform.Row
+func (w *world) get(keys ...string) []storage.Row {
+	var rows []storage.Row
 	for _, key := range keys {
 		if r, ok := w.rows[key]; ok {
 			rows = append(rows, r)
@@ -112,7 +112,7 @@
 	return rows
 }
 
-func decode[T any](r platform.Row) T {
+func decode[T any](r storage.Row) T {
 	var v T
 	if err := json.Unmarshal(r.Value, &v); err != nil {
 		panic(err)
@@ -120,8 +120,8 @@
 	return v
 }
 
-func (w *world) grantRows(state GrantState) []platform.Row {
-	var rows []platform.Row
+func (w *world) grantRows(state GrantState) []storage.Row {
+	var rows []storage.Row
 	for _, key := range slices.Sorted(maps.Keys(w.rows)) {
 		if strings.HasPrefix(key, GrantPrefix) && decode[GrantRow](w.rows[key]).State == state {
 			rows = append(rows, w.rows[key])
--- a/ledger/write.go
+++ b/ledger/write.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"jackdawswitch/invariant"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // Write is one table transaction on the book's grants, with the batch that
 // must be stored before it. The book changes no further row of these grants
 // until the write is resolved by Done or NotDone.
 type Write struct {
-	Txn platform.Transaction
+	Txn storage.Transaction
 	// BatchID and BatchBody are empty when there is no batch.
 	BatchID   string
 	BatchBody []byte
@@ -34,8 +34,8 @@
 	if err != nil {
 		panic(err) // Rows have only strings, numbers, times and slices of them.
 	}
-	w.Txn.Conditions = append(w.Txn.Conditions, platform.Condition{Key: key, Version: version})
-	w.Txn.Puts = append(w.Txn.Puts, platform.Put{Key: key, Value: value})
+	w.Txn.Conditions = append(w.Txn.Conditions, storage.Condition{Key: key, Version: version})
+	w.Txn.Puts = append(w.Txn.Puts, storage.Put{Key: key, Value: value})
 }
 
 func (w *Write) add(p part) {
@@ -84,7 +84,7 @@
 
 // Resolve judges a write by the rows read back after its last attempt. The
 // version is that of the commit when it is done.
-func (w *Write) Resolve(rows []platform.Row) (Resolution, uint64) {
+func (w *Write) Resolve(rows []storage.Row) (Resolution, uint64) {
 	current := make(map[string]uint64, len(rows))
 	for _, r := range rows {
 		if r.Writer == w.Txn.ID {
@@ -136,8 +136,8 @@
 
 // NotDone takes in that a write did not take effect and never will. Current
 // holds the rows read back after that, by which lost grants are found.
-func (b *Book) NotDone(w *Write, rows []platform.Row, now time.Time) {
-	current := make(map[string]platform.Row, len(rows))
+func (b *Book) NotDone(w *Write, rows []storage.Row, now time.Time) {
+	current := make(map[string]storage.Row, len(rows))
 	for _, r := range rows {
 		current[r.Key] = r
 	}
@@ -151,7 +151,7 @@
 	b.ObserveRows(rows, now)
 }
 
-func (b *Book) partNotDone(p *part, current map[string]platform.Row) {
+func (b *Book) partNotDone(p *part, current map[string]storage.Row) {
 	g := p.grant
 	if g.final() {
 		return
@@ -176,7 +176,7 @@
 
 // checkLost asserts that a row that changed without this process's knowledge
 // was changed by another one.
-func (b *Book) checkLost(r platform.Row) {
+func (b *Book) checkLost(r storage.Row) {
 	var row GrantRow
 	err := json.Unmarshal(r.Value, &row)
 	ours := row.Holder == b.self && row.State == GrantOpen
@@ -185,7 +185,7 @@
 
 // ObserveRows takes in the lot rows among rows, which were read at a time not
 // before at. Rows that do not decode are reported and left out.
-func (b *Book) ObserveRows(rows []platform.Row, at time.Time) {
+func (b *Book) ObserveRows(rows []storage.Row, at time.Time) {
 	for _, r := range rows {
 		var row LotRow
 		if len(r.Key) < len(LotPrefix) || r.Key[:len(LotPrefix)] != LotPrefix {
--- a/membership/death.go
+++ b/membership/death.go
@@ -4,7 +4,7 @@
 	"time"
 
 	pb "jackdawswitch/api/jackdawv1"
-	"jackdawswitch/platform"
+	"jackdawswitch/vmlist"
 )
 
 // deadAfterLags is how many list lags a VM must be absent for. One covers what
@@ -20,7 +20,7 @@
 // So is a list that lacks this process's own VM after it has been listed: the
 // list is wrong, since the process lives. VMList reports whether the list has
 // news to pass on.
-func (v *View) VMList(now time.Time, s platform.VMSnapshot) bool {
+func (v *View) VMList(now time.Time, s vmlist.Snapshot) bool {
 	news := false
 	if v.started {
 		v.Tick(now)
@@ -28,7 +28,7 @@
 	if !s.At.After(v.listAt) {
 		return false
 	}
-	states := make(map[string]platform.VMState, len(s.VMs))
+	states := make(map[string]vmlist.State, len(s.VMs))
 	for _, vm := range s.VMs {
 		states[vm.ID] = vm.State
 	}
@@ -40,7 +40,7 @@
 	v.listAt = s.At
 	for vm, state := range states {
 		rec := v.record(vm)
-		if state == platform.VMLeaving && rec.listed == listedLive {
+		if state == vmlist.Leaving && rec.listed == listedLive {
 			v.pass(now, News{VM: vm, At: s.At})
 			news = true
 		}
@@ -54,10 +54,10 @@
 	return news
 }
 
-func (v *View) markListed(rec *record, state platform.VMState) {
+func (v *View) markListed(rec *record, state vmlist.State) {
 	rec.absentAt = time.Time{}
 	rec.listed = listedLive
-	if state == platform.VMLeaving {
+	if state == vmlist.Leaving {
 		rec.listed = listedLeaving
 	}
 }
--- a/membership/placement_test.go
+++ b/membership/placement_test.go
@@ -9,7 +9,7 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/config"
 	"jackdawswitch/membership"
-	"jackdawswitch/platform"
+	"jackdawswitch/vmlist"
 )
 
 const keys = 4000
@@ -109,10 +109,10 @@
 		},
 		"register": func(v *membership.View) { v.Register(start.Add(suspect), document(1, 0, 0)) },
 		"list": func(v *membership.View) {
-			v.VMList(start, platform.VMSnapshot{At: start, VMs: []platform.VM{{ID: other, State: platform.VMLeaving}}})
+			v.VMList(start, vmlist.Snapshot{At: start, VMs: []vmlist.VM{{ID: other, State: vmlist.Leaving}}})
 		},
 		"news": func(v *membership.View) {
-			v.VMList(start, platform.VMSnapshot{At: start, VMs: []platform.VM{{ID: other, State: platform.VMLive}}})
+			v.VMList(start, vmlist.Snapshot{At: start, VMs: []vmlist.VM{{ID: other, State: vmlist.Live}}})
 			v.Hear(start, []membership.News{{VM: other, At: start.Add(time.Second)}})
 		},
 	}
@@ -182,18 +182,18 @@
 	if v.Members(config.RoleRouter)[1].Leaving {
 		t.Fatal("an older incarnation was believed")
 	}
-	listed := []platform.VM{{ID: router(0, 1).VM()}, {ID: router(1, 1).VM()}, {ID: router(2, 1).VM()}}
-	v.VMList(now, platform.VMSnapshot{At: now, VMs: listed})
+	listed := []vmlist.VM{{ID: router(0, 1).VM()}, {ID: router(1, 1).VM()}, {ID: router(2, 1).VM()}}
+	v.VMList(now, vmlist.Snapshot{At: now, VMs: listed})
 	for i := range 9 {
 		at := now.Add(time.Duration(i+1) * lag)
-		v.VMList(now, platform.VMSnapshot{At: at})
+		v.VMList(now, vmlist.Snapshot{At: at})
 	}
 	if v.Dead(router(2, 1).VM(), 1, now) {
 		t.Fatal("a list without the reader itself was believed")
 	}
 	v.Hear(now, []membership.News{{VM: router(2, 1).VM(), At: now}})
-	leaving := []platform.VM{{ID: router(0, 1).VM()}, {ID: router(2, 1).VM(), State: platform.VMLeaving}}
-	v.VMList(now, platform.VMSnapshot{At: now.Add(-time.Second), VMs: leaving})
+	leaving := []vmlist.VM{{ID: router(0, 1).VM()}, {ID: router(2, 1).VM(), State: vmlist.Leaving}}
+	v.VMList(now, vmlist.Snapshot{At: now.Add(-time.Second), VMs: leaving})
 	if v.Members(config.RoleRouter)[2].Leaving {
 		t.Fatal("an older list, or news, was believed")
 	}
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -12,7 +12,7 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/config"
 	"jackdawswitch/membership"
-	"jackdawswitch/platform"
+	"jackdawswitch/vmlist"
 )
 
 const (
@@ -38,7 +38,7 @@
 	now time.Time
 	vms map[string]*truth
 	// lists and beats are under way and arrive in any order.
-	lists []delivery[platform.VMSnapshot]
+	lists []delivery[vmlist.Snapshot]
 	beats []delivery[membership.Member]
 	view  *membership.View
 	// watched holds the incarnations that the view has evidence of.
@@ -132,15 +132,15 @@
 
 // list takes a list that shows each VM as it was within the lag.
 func (w *world) list(t *rapid.T) {
-	s := platform.VMSnapshot{At: w.now, VMs: []platform.VM{{ID: "self", State: platform.VMLive}}}
+	s := vmlist.Snapshot{At: w.now, VMs: []vmlist.VM{{ID: "self", State: vmlist.Live}}}
 	for i := range vms {
 		id := fmt.Sprint("vm-", i)
 		behind := rapid.SampledFrom([]time.Duration{0, lag / 2, lag}).Draw(t, "behind")
 		if w.vms[id].existed(w.now.Add(-behind)) {
-			s.VMs = append(s.VMs, platform.VM{ID: id, State: platform.VMLive})
+			s.VMs = append(s.VMs, vmlist.VM{ID: id, State: vmlist.Live})
 		}
 	}
-	w.lists = append(w.lists, delivery[platform.VMSnapshot]{w.now.Add(lag), s})
+	w.lists = append(w.lists, delivery[vmlist.Snapshot]{w.now.Add(lag), s})
 }
 
 func (w *world) deliverList(t *rapid.T) {
--- a/orders/service.go
+++ b/orders/service.go
@@ -11,7 +11,7 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 const (
@@ -44,7 +44,7 @@
 type Options struct {
 	Self   *pb.ProcessId
 	Region string
-	Table  platform.Table
+	Table  storage.Table
 	Config func() (*config.Document, uint64)
 	// Routers returns the VMs of the region's routers that may give orders.
 	Routers func() []string
--- a/orders/site.go
+++ b/orders/site.go
@@ -14,7 +14,7 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/config"
 	"jackdawswitch/placement"
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // agentState is what is known of one agent.
@@ -189,16 +189,16 @@
 	t.opts.Metrics.Counter("placement_lease_writes").Inc(1)
 	commit, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	done, err := t.opts.Table.Commit(commit, platform.Transaction{
+	done, err := t.opts.Table.Commit(commit, storage.Transaction{
 		ID:         id,
-		Conditions: []platform.Condition{{Key: t.key, Version: write.Version}},
-		Puts:       []platform.Put{{Key: t.key, Value: value}},
+		Conditions: []storage.Condition{{Key: t.key, Version: write.Version}},
+		Puts:       []storage.Put{{Key: t.key, Value: value}},
 	})
-	switch platform.OutcomeOf(err) {
-	case platform.OutcomeDone:
+	switch storage.OutcomeOf(err) {
+	case storage.OutcomeDone:
 		t.lease.Committed(id, done.Version)
 		return
-	case platform.OutcomeNotDone:
+	case storage.OutcomeNotDone:
 		t.lease.NotDone(id)
 	default:
 	}
--- a/peer/chaos_test.go
+++ b/peer/chaos_test.go
@@ -7,7 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/vmlist"
 )
 
 // TestSeededFaults plays random cuts, crashes, restarts and lost VMs, and checks
@@ -46,7 +46,7 @@
 		case 3:
 			if f.peers[vm] == nil {
 				incarnations[vm]++
-				f.list.set(vm, platform.VMLive)
+				f.list.set(vm, vmlist.Live)
 				f.start(vm, incarnations[vm])
 			}
 		case 4:
--- a/peer/leaving_test.go
+++ b/peer/leaving_test.go
@@ -11,9 +11,9 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/config"
 	"jackdawswitch/membership"
-	"jackdawswitch/platform"
 	"jackdawswitch/routing"
 	"jackdawswitch/rpc"
+	"jackdawswitch/vmlist"
 )
 
 // leavingBound is how soon a leaving endpoint must get no new work.
@@ -78,7 +78,7 @@
 	f.doc.Register.Endpoints = append(f.doc.Register.Endpoints, config.Endpoint{
 		ID: a.endpoint, Service: "s", VM: vm, Slots: 4,
 	})
-	f.list.set(vm, platform.VMLive)
+	f.list.set(vm, vmlist.Live)
 	f.t.Cleanup(func() { _ = a.client.Close() })
 	go a.run(f.t.Context())
 	return a
@@ -160,12 +160,12 @@
 			f.doc = &changed
 			f.registerAll()
 		},
-		"list": func(f *fleet, a *agent) { f.list.set(a.vm, platform.VMLeaving) },
+		"list": func(f *fleet, a *agent) { f.list.set(a.vm, vmlist.Leaving) },
 		"list read by one router": func(f *fleet, a *agent) {
 			f.list.mu.Lock()
 			f.list.readers = map[string]bool{"router-1": true}
 			f.list.mu.Unlock()
-			f.list.set(a.vm, platform.VMLeaving)
+			f.list.set(a.vm, vmlist.Leaving)
 		},
 	}
 	for name, leave := range paths {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -15,9 +15,9 @@
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/config"
 	"jackdawswitch/membership"
-	"jackdawswitch/platform"
 	"jackdawswitch/rpc"
 	"jackdawswitch/settings"
+	"jackdawswitch/vmlist"
 )
 
 // ConfigSource is the process's configuration.
@@ -41,7 +41,7 @@
 	// View must not be used by others once the Peer has it.
 	View     *membership.View
 	Client   *rpc.Client
-	VMs      platform.VMList
+	VMs      vmlist.List
 	Changes  ConfigSource
 	Receipts ReceiptsFunc
 	// OnReport is told of each agent's report.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -12,10 +12,11 @@
 	"jackdawswitch/config"
 	"jackdawswitch/membership"
 	"jackdawswitch/peer"
-	"jackdawswitch/platform"
 	"jackdawswitch/rpc"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/settings"
+	"jackdawswitch/storage"
+	"jackdawswitch/vmlist"
 )
 
 const region = "r1"
@@ -23,11 +24,11 @@
 // vmList is a VM list that tests change. Only its readers may read it.
 type vmList struct {
 	mu      sync.Mutex
-	states  map[string]platform.VMState
+	states  map[string]vmlist.State
 	readers map[string]bool
 }
 
-func (l *vmList) set(vm string, state platform.VMState) {
+func (l *vmList) set(vm string, state vmlist.State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.states[vm] = state
@@ -45,15 +46,15 @@
 	vm string
 }
 
-func (l forVM) VMs(context.Context) (platform.VMSnapshot, error) {
+func (l forVM) VMs(context.Context) (vmlist.Snapshot, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.readers != nil && !l.readers[l.vm] {
-		return platform.VMSnapshot{}, &platform.Error{Op: "vms", Kind: platform.KindUnavailable}
+		return vmlist.Snapshot{}, &storage.Error{Op: "vms", Kind: storage.KindUnavailable}
 	}
-	s := platform.VMSnapshot{At: time.Now()}
+	s := vmlist.Snapshot{At: time.Now()}
 	for vm, state := range l.states {
-		s.VMs = append(s.VMs, platform.VM{ID: vm, State: state})
+		s.VMs = append(s.VMs, vmlist.VM{ID: vm, State: state})
 	}
 	return s, nil
 }
@@ -83,7 +84,7 @@
 func newFleet(t *testing.T, n int) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, network: memnet.New(), list: &vmList{states: make(map[string]platform.VMState)},
+		t: t, network: memnet.New(), list: &vmList{states: make(map[string]vmlist.State)},
 		pickers: make(map[string]*guarded),
 		peers:   make(map[string]*peer.Peer), stop: make(map[string]context.CancelFunc),
 		doc: &config.Document{Register: config.Register{
@@ -95,7 +96,7 @@
 		f.doc.Register.VMs = append(f.doc.Register.VMs, config.VM{
 			ID: vm, FailureDomain: "fd", Address: vm, Role: config.RoleRouter,
 		})
-		f.list.set(vm, platform.VMLive)
+		f.list.set(vm, vmlist.Live)
 	}
 	for _, vm := range f.doc.Register.VMs {
 		f.start(vm.ID, 1)
--- a/peer/vmlist.go
+++ b/peer/vmlist.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/vmlist"
 )
 
 const (
@@ -36,7 +36,7 @@
 	}
 }
 
-func (p *Peer) takeVMs(ctx context.Context, snapshot platform.VMSnapshot) {
+func (p *Peer) takeVMs(ctx context.Context, snapshot vmlist.Snapshot) {
 	now := time.Now()
 	p.metrics.listAge.Update(now.Sub(snapshot.At).Seconds())
 	p.mu.Lock()
@@ -49,7 +49,7 @@
 }
 
 // pollCost is the time over which one read of the list is spread.
-func pollCost(snapshot platform.VMSnapshot) time.Duration {
+func pollCost(snapshot vmlist.Snapshot) time.Duration {
 	size := 0
 	for _, vm := range snapshot.VMs {
 		size += vmBytes + len(vm.ID) + len(vm.State)
--- a/quickstart/files.go
+++ b/quickstart/files.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 
 	"jackdawswitch/config"
-	"jackdawswitch/platform"
 	"jackdawswitch/standin"
+	"jackdawswitch/vmlist"
 )
 
 const (
@@ -37,10 +37,10 @@
 }
 
 // LiveVMs returns the VMs as the list has them.
-func (s *StandinSettings) LiveVMs() []platform.VM {
-	var vms []platform.VM
+func (s *StandinSettings) LiveVMs() []vmlist.VM {
+	var vms []vmlist.VM
 	for _, id := range s.VMs {
-		vms = append(vms, platform.VM{ID: id, State: platform.VMLive})
+		vms = append(vms, vmlist.VM{ID: id, State: vmlist.Live})
 	}
 	return vms
 }
--- a/quickstart/standins.go
+++ b/quickstart/standins.go
@@ -9,8 +9,8 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"jackdawswitch/platform"
 	"jackdawswitch/standin"
+	"jackdawswitch/vmlist"
 )
 
 const (
@@ -49,7 +49,7 @@
 	}
 	for _, nodes := range [][]Node{layout.Routers, layout.Agents} {
 		for _, node := range nodes {
-			s.VMs.Set(node.VM, platform.VMLive)
+			s.VMs.Set(node.VM, vmlist.Live)
 		}
 	}
 	handlers := map[string]http.Handler{
--- a/quickstart/system.go
+++ b/quickstart/system.go
@@ -9,19 +9,19 @@
 
 	"jackdawswitch/agent"
 	"jackdawswitch/configsync"
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/objecthttp"
-	"jackdawswitch/platform/tablehttp"
-	"jackdawswitch/platform/vmlisthttp"
 	"jackdawswitch/router"
 	"jackdawswitch/rpc"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/objecthttp"
+	"jackdawswitch/storage/tablehttp"
+	"jackdawswitch/vmlist/vmlisthttp"
 )
 
 // System is a running layout in one process.
 type System struct {
 	Layout   *Layout
-	Table    platform.Table
-	Objects  platform.ObjectStore
+	Table    storage.Table
+	Objects  storage.ObjectStore
 	Standins *Standins
 
 	logger  *slog.Logger
--- a/router/options.go
+++ b/router/options.go
@@ -10,9 +10,10 @@
 	"github.com/uber-go/tally/v4"
 
 	pb "jackdawswitch/api/jackdawv1"
-	"jackdawswitch/platform"
 	"jackdawswitch/rpc"
 	"jackdawswitch/settings"
+	"jackdawswitch/storage"
+	"jackdawswitch/vmlist"
 )
 
 const defaultMergeInterval = time.Hour
@@ -24,9 +25,9 @@
 	Network rpc.Network
 	// CallersNetwork is where callers are listened to; nil means TCP.
 	CallersNetwork rpc.Network
-	Table          platform.Table
-	Objects        platform.ObjectStore
-	VMs            platform.VMList
+	Table          storage.Table
+	Objects        storage.ObjectStore
+	VMs            vmlist.List
 	// Incarnation is higher than that of any earlier run on the VM; 0 takes
 	// the time of the start.
 	Incarnation uint64
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -15,19 +15,20 @@
 	"jackdawswitch/agent"
 	"jackdawswitch/config"
 	"jackdawswitch/configsync"
-	"jackdawswitch/platform"
 	"jackdawswitch/quickstart"
 	"jackdawswitch/router"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/settings"
 	"jackdawswitch/standin"
+	"jackdawswitch/storage"
+	"jackdawswitch/vmlist"
 )
 
 // gate is one process's way to the platform; it can be shut.
 type gate struct {
-	platform.Table
-	platform.ObjectStore
-	platform.VMList
+	storage.Table
+	storage.ObjectStore
+	vmlist.List
 	shut atomic.Bool
 }
 
@@ -42,35 +43,35 @@
 	if !g.shut.Load() {
 		return nil
 	}
-	return &platform.Error{Op: op, Kind: platform.KindUnavailable, Outcome: platform.OutcomeNotDone}
+	return &storage.Error{Op: op, Kind: storage.KindUnavailable, Outcome: storage.OutcomeNotDone}
 }
 
-func (g tableGate) Commit(ctx context.Context, txn platform.Transaction) (platform.Commit, error) {
+func (g tableGate) Commit(ctx context.Context, txn storage.Transaction) (storage.Commit, error) {
 	if err := g.refuse("commit"); err != nil {
-		return platform.Commit{}, err
+		return storage.Commit{}, err
 	}
 	commit, err := g.Table.Commit(ctx, txn)
 	if g.shut.Load() {
-		return platform.Commit{}, &platform.Error{Op: "commit", Kind: platform.KindTimeout}
+		return storage.Commit{}, &storage.Error{Op: "commit", Kind: storage.KindTimeout}
 	}
 	return commit, err
 }
 
-func (g tableGate) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (g tableGate) Get(ctx context.Context, keys ...string) ([]storage.Row, error) {
 	if err := g.refuse("get"); err != nil {
 		return nil, err
 	}
 	return g.Table.Get(ctx, keys...)
 }
 
-func (g tableGate) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (g tableGate) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	if err := g.refuse("list"); err != nil {
 		return nil, err
 	}
 	return g.Table.List(ctx, prefix, after, limit)
 }
 
-func (g tableGate) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Row, error) {
+func (g tableGate) Watch(ctx context.Context, prefix string, after uint64) ([]storage.Row, error) {
 	if err := g.refuse("watch"); err != nil {
 		return nil, err
 	}
@@ -98,11 +99,11 @@
 	return g.ObjectStore.List(ctx, prefix, after, limit)
 }
 
-func (g listGate) VMs(ctx context.Context) (platform.VMSnapshot, error) {
+func (g listGate) VMs(ctx context.Context) (vmlist.Snapshot, error) {
 	if err := g.refuse("vms"); err != nil {
-		return platform.VMSnapshot{}, err
+		return vmlist.Snapshot{}, err
 	}
-	return g.VMList.VMs(ctx)
+	return g.List.VMs(ctx)
 }
 
 // node is a VM whose process can be started again.
@@ -193,7 +194,7 @@
 		w.agents = append(w.agents, w.newAgent(i))
 	}
 	for _, n := range w.nodes() {
-		w.vms.Set(n.name, platform.VMLive)
+		w.vms.Set(n.name, vmlist.Live)
 		w.startNode(n)
 	}
 	return w
@@ -319,7 +320,7 @@
 	defer n.mu.Unlock()
 	n.incarnation++
 	n.host = w.network.Host(w.address(n))
-	n.gate = &gate{Table: w.table, ObjectStore: w.objects, VMList: w.vms}
+	n.gate = &gate{Table: w.table, ObjectStore: w.objects, List: w.vms}
 	run := n.start(n.host, n.gate, uint64(time.Now().UnixMilli()))
 	ctx, stop := context.WithCancel(context.Background())
 	force, cancel := context.WithCancel(context.Background())
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // Faults are the fault switches of a platform stand-in. The zero value is a
@@ -76,8 +76,8 @@
 		return refused(op, "rate limit")
 	}
 	if faults.DelayMS > 0 && !sleep(ctx, time.Duration(faults.DelayMS)*time.Millisecond) {
-		return &platform.Error{
-			Op: op, Kind: platform.KindTimeout, Outcome: platform.OutcomeNotDone, Cause: ctx.Err(),
+		return &storage.Error{
+			Op: op, Kind: storage.KindTimeout, Outcome: storage.OutcomeNotDone, Cause: ctx.Err(),
 		}
 	}
 	return nil
@@ -106,19 +106,19 @@
 }
 
 func refused(op, fault string) error {
-	return &platform.Error{
+	return &storage.Error{
 		Op:      op,
-		Kind:    platform.KindUnavailable,
-		Outcome: platform.OutcomeNotDone,
+		Kind:    storage.KindUnavailable,
+		Outcome: storage.OutcomeNotDone,
 		Cause:   &FaultError{Fault: fault},
 	}
 }
 
 func lost(op, key string) error {
-	return &platform.Error{
+	return &storage.Error{
 		Op:      op,
-		Kind:    platform.KindTimeout,
-		Outcome: platform.OutcomeUnknown,
+		Kind:    storage.KindTimeout,
+		Outcome: storage.OutcomeUnknown,
 		Key:     key,
 		Cause:   &FaultError{Fault: "answer lost"},
 	}
--- a/standin/http.go
+++ b/standin/http.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/wire"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/wire"
 )
 
 const (
@@ -28,7 +28,7 @@
 	}
 	if err != nil {
 		writeJSON(w, http.StatusBadRequest, wire.Failure{
-			Kind: platform.KindInvalid, NotDone: true, Detail: err.Error(),
+			Kind: storage.KindInvalid, NotDone: true, Detail: err.Error(),
 		})
 		return false
 	}
@@ -49,26 +49,26 @@
 // writeFailure answers with err, or drops the connection when the answer is
 // lost.
 func writeFailure(w http.ResponseWriter, err error) {
-	var perr *platform.Error
-	if !errors.As(err, &perr) || perr.Outcome == platform.OutcomeUnknown {
+	var perr *storage.Error
+	if !errors.As(err, &perr) || perr.Outcome == storage.OutcomeUnknown {
 		panic(http.ErrAbortHandler)
 	}
 	msg := wire.Failure{
 		Kind:    perr.Kind,
-		NotDone: perr.Outcome == platform.OutcomeNotDone,
+		NotDone: perr.Outcome == storage.OutcomeNotDone,
 		Key:     perr.Key,
 		Detail:  perr.Error(),
 	}
 	writeJSON(w, statusOf(perr.Kind), msg)
 }
 
-func statusOf(kind platform.ErrorKind) int {
+func statusOf(kind storage.ErrorKind) int {
 	switch kind {
-	case platform.KindConflict:
+	case storage.KindConflict:
 		return http.StatusConflict
-	case platform.KindNotFound:
+	case storage.KindNotFound:
 		return http.StatusNotFound
-	case platform.KindInvalid:
+	case storage.KindInvalid:
 		return http.StatusBadRequest
 	default:
 		return http.StatusServiceUnavailable
--- a/standin/objects.go
+++ b/standin/objects.go
@@ -8,12 +8,12 @@
 	"strings"
 	"sync"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/wire"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/wire"
 )
 
 // ObjectStore is an in-memory object store. It implements
-// platform.ObjectStore.
+// storage.ObjectStore.
 type ObjectStore struct {
 	switches
 
@@ -21,14 +21,14 @@
 	objects map[string][]byte
 }
 
-var _ platform.ObjectStore = (*ObjectStore)(nil)
+var _ storage.ObjectStore = (*ObjectStore)(nil)
 
 // NewObjectStore returns an empty object store.
 func NewObjectStore() *ObjectStore {
 	return &ObjectStore{objects: make(map[string][]byte)}
 }
 
-// PutIfAbsent implements platform.ObjectStore.
+// PutIfAbsent implements storage.ObjectStore.
 func (s *ObjectStore) PutIfAbsent(ctx context.Context, key string, data []byte) error {
 	const op = "object.put"
 	if err := s.before(ctx, op); err != nil {
@@ -48,13 +48,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.objects[key]; ok {
-		return &platform.Error{Op: op, Kind: platform.KindConflict, Outcome: platform.OutcomeNotDone, Key: key}
+		return &storage.Error{Op: op, Kind: storage.KindConflict, Outcome: storage.OutcomeNotDone, Key: key}
 	}
 	s.objects[key] = slices.Clone(data)
 	return nil
 }
 
-// Get implements platform.ObjectStore.
+// Get implements storage.ObjectStore.
 func (s *ObjectStore) Get(ctx context.Context, key string) ([]byte, error) {
 	if err := s.before(ctx, "object.get"); err != nil {
 		return nil, err
@@ -63,14 +63,14 @@
 	defer s.mu.Unlock()
 	data, ok := s.objects[key]
 	if !ok {
-		return nil, &platform.Error{
-			Op: "object.get", Kind: platform.KindNotFound, Outcome: platform.OutcomeNotDone, Key: key,
+		return nil, &storage.Error{
+			Op: "object.get", Kind: storage.KindNotFound, Outcome: storage.OutcomeNotDone, Key: key,
 		}
 	}
 	return slices.Clone(data), nil
 }
 
-// List implements platform.ObjectStore.
+// List implements storage.ObjectStore.
 func (s *ObjectStore) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	if err := s.before(ctx, "object.list"); err != nil {
 		return nil, err
@@ -118,7 +118,7 @@
 func (s *ObjectStore) servePut(w http.ResponseWriter, r *http.Request, key string) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil || key == "" || r.Header.Get("If-None-Match") != "*" {
-		writeJSON(w, http.StatusBadRequest, wire.Failure{Kind: platform.KindInvalid, NotDone: true, Key: key})
+		writeJSON(w, http.StatusBadRequest, wire.Failure{Kind: storage.KindInvalid, NotDone: true, Key: key})
 		return
 	}
 	if err := s.PutIfAbsent(r.Context(), key, data); err != nil {
--- a/standin/table.go
+++ b/standin/table.go
@@ -10,15 +10,15 @@
 	"strings"
 	"sync"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
-// Table is an in-memory transactional table. It implements platform.Table.
+// Table is an in-memory transactional table. It implements storage.Table.
 type Table struct {
 	switches
 
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]storage.Row
 	version uint64
 	changed chan struct{}
 	stats   TableStats
@@ -31,12 +31,12 @@
 	Reads     int64 `json:"reads"`
 }
 
-var _ platform.Table = (*Table)(nil)
+var _ storage.Table = (*Table)(nil)
 
 // NewTable returns an empty table.
 func NewTable() *Table {
 	return &Table{
-		rows:    make(map[string]platform.Row),
+		rows:    make(map[string]storage.Row),
 		changed: make(chan struct{}),
 	}
 }
@@ -48,35 +48,35 @@
 	return t.stats
 }
 
-// Commit implements platform.Table.
-func (t *Table) Commit(ctx context.Context, txn platform.Transaction) (platform.Commit, error) {
+// Commit implements storage.Table.
+func (t *Table) Commit(ctx context.Context, txn storage.Transaction) (storage.Commit, error) {
 	const op = "table.commit"
 	if err := t.before(ctx, op); err != nil {
-		return platform.Commit{}, err
+		return storage.Commit{}, err
 	}
 	if t.loseWrite() {
-		return platform.Commit{}, lost(op, txn.ID)
+		return storage.Commit{}, lost(op, txn.ID)
 	}
 	commit, err := t.apply(txn)
 	if t.loseAnswer() {
-		return platform.Commit{}, lost(op, txn.ID)
+		return storage.Commit{}, lost(op, txn.ID)
 	}
 	return commit, err
 }
 
-func (t *Table) apply(txn platform.Transaction) (platform.Commit, error) {
+func (t *Table) apply(txn storage.Transaction) (storage.Commit, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if txn.ID == "" {
-		return platform.Commit{}, &platform.Error{
-			Op: "table.commit", Kind: platform.KindInvalid, Outcome: platform.OutcomeNotDone,
+		return storage.Commit{}, &storage.Error{
+			Op: "table.commit", Kind: storage.KindInvalid, Outcome: storage.OutcomeNotDone,
 		}
 	}
 	for _, cond := range txn.Conditions {
 		if t.rows[cond.Key].Version != cond.Version {
 			t.stats.Conflicts++
-			return platform.Commit{}, &platform.Error{
-				Op: "table.commit", Kind: platform.KindConflict, Outcome: platform.OutcomeNotDone, Key: cond.Key,
+			return storage.Commit{}, &storage.Error{
+				Op: "table.commit", Kind: storage.KindConflict, Outcome: storage.OutcomeNotDone, Key: cond.Key,
 			}
 		}
 	}
@@ -86,17 +86,17 @@
 		delete(t.rows, key)
 	}
 	for _, put := range txn.Puts {
-		t.rows[put.Key] = platform.Row{
+		t.rows[put.Key] = storage.Row{
 			Key: put.Key, Value: slices.Clone(put.Value), Version: t.version, Writer: txn.ID,
 		}
 	}
 	close(t.changed)
 	t.changed = make(chan struct{})
-	return platform.Commit{Version: t.version}, nil
+	return storage.Commit{Version: t.version}, nil
 }
 
-// Get implements platform.Table.
-func (t *Table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements storage.Table.
+func (t *Table) Get(ctx context.Context, keys ...string) ([]storage.Row, error) {
 	if err := t.before(ctx, "table.get"); err != nil {
 		return nil, err
 	}
@@ -105,7 +105,7 @@
 	t.stats.Reads++
 	sorted := slices.Clone(keys)
 	slices.Sort(sorted)
-	var rows []platform.Row
+	var rows []storage.Row
 	for _, key := range slices.Compact(sorted) {
 		if row, ok := t.rows[key]; ok {
 			rows = append(rows, cloneRow(row))
@@ -114,26 +114,26 @@
 	return rows, nil
 }
 
-// List implements platform.Table.
-func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table.
+func (t *Table) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	if err := t.before(ctx, "table.list"); err != nil {
 		return nil, err
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
-	rows := t.selectLocked(func(row platform.Row) bool {
+	rows := t.selectLocked(func(row storage.Row) bool {
 		return strings.HasPrefix(row.Key, prefix) && row.Key > after
 	})
-	slices.SortFunc(rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(rows, func(a, b storage.Row) int { return strings.Compare(a.Key, b.Key) })
 	if limit > 0 && len(rows) > limit {
 		rows = rows[:limit]
 	}
 	return rows, nil
 }
 
-// Watch implements platform.Table.
-func (t *Table) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Row, error) {
+// Watch implements storage.Table.
+func (t *Table) Watch(ctx context.Context, prefix string, after uint64) ([]storage.Row, error) {
 	if err := t.before(ctx, "table.watch"); err != nil {
 		if ctx.Err() != nil {
 			return nil, nil
@@ -153,14 +153,14 @@
 	}
 }
 
-func (t *Table) changedSince(prefix string, after uint64) ([]platform.Row, <-chan struct{}) {
+func (t *Table) changedSince(prefix string, after uint64) ([]storage.Row, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stats.Reads++
-	rows := t.selectLocked(func(row platform.Row) bool {
+	rows := t.selectLocked(func(row storage.Row) bool {
 		return strings.HasPrefix(row.Key, prefix) && row.Version > after
 	})
-	slices.SortFunc(rows, func(a, b platform.Row) int {
+	slices.SortFunc(rows, func(a, b storage.Row) int {
 		if a.Version != b.Version {
 			return int(int64(a.Version) - int64(b.Version))
 		}
@@ -169,8 +169,8 @@
 	return rows, t.changed
 }
 
-func (t *Table) selectLocked(match func(platform.Row) bool) []platform.Row {
-	var rows []platform.Row
+func (t *Table) selectLocked(match func(storage.Row) bool) []storage.Row {
+	var rows []storage.Row
 	for _, row := range t.rows {
 		if match(row) {
 			rows = append(rows, cloneRow(row))
@@ -179,7 +179,7 @@
 	return rows
 }
 
-func cloneRow(row platform.Row) platform.Row {
+func cloneRow(row storage.Row) storage.Row {
 	row.Value = slices.Clone(row.Value)
 	return row
 }
--- a/standin/table_http.go
+++ b/standin/table_http.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/wire"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/wire"
 )
 
 const maxWatchWait = 30 * time.Second
@@ -33,7 +33,7 @@
 }
 
 func (t *Table) serveCommit(w http.ResponseWriter, r *http.Request) {
-	var txn platform.Transaction
+	var txn storage.Transaction
 	if !readJSON(w, r, &txn) {
 		return
 	}
@@ -65,7 +65,7 @@
 	writeRows(w, rows, err)
 }
 
-func writeRows(w http.ResponseWriter, rows []platform.Row, err error) {
+func writeRows(w http.ResponseWriter, rows []storage.Row, err error) {
 	if err != nil {
 		writeFailure(w, err)
 		return
--- a/standin/vmlist.go
+++ b/standin/vmlist.go
@@ -8,62 +8,62 @@
 	"sync"
 	"time"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/wire"
+	"jackdawswitch/storage/wire"
+	"jackdawswitch/vmlist"
 )
 
 const keptSnapshots = 1000
 
 // VMList is an in-memory VM list, which can lag. It implements
-// platform.VMList.
+// vmlist.List.
 type VMList struct {
 	switches
 
 	mu sync.Mutex
 	// snapshots are the states the list had, oldest first.
-	snapshots []platform.VMSnapshot
+	snapshots []vmlist.Snapshot
 }
 
-var _ platform.VMList = (*VMList)(nil)
+var _ vmlist.List = (*VMList)(nil)
 
 // NewVMList returns an empty list.
 func NewVMList() *VMList {
-	return &VMList{snapshots: []platform.VMSnapshot{{}}}
+	return &VMList{snapshots: []vmlist.Snapshot{{}}}
 }
 
 // Set adds a VM or changes its state.
-func (l *VMList) Set(id string, state platform.VMState) {
-	l.change(func(vms []platform.VM) []platform.VM {
-		return append(without(vms, id), platform.VM{ID: id, State: state})
+func (l *VMList) Set(id string, state vmlist.State) {
+	l.change(func(vms []vmlist.VM) []vmlist.VM {
+		return append(without(vms, id), vmlist.VM{ID: id, State: state})
 	})
 }
 
 // Remove takes a VM off the list.
 func (l *VMList) Remove(id string) {
-	l.change(func(vms []platform.VM) []platform.VM { return without(vms, id) })
+	l.change(func(vms []vmlist.VM) []vmlist.VM { return without(vms, id) })
 }
 
-func without(vms []platform.VM, id string) []platform.VM {
-	return slices.DeleteFunc(slices.Clone(vms), func(vm platform.VM) bool { return vm.ID == id })
+func without(vms []vmlist.VM, id string) []vmlist.VM {
+	return slices.DeleteFunc(slices.Clone(vms), func(vm vmlist.VM) bool { return vm.ID == id })
 }
 
-func (l *VMList) change(edit func([]platform.VM) []platform.VM) {
+func (l *VMList) change(edit func([]vmlist.VM) []vmlist.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	last := l.snapshots[len(l.snapshots)-1]
 	vms := edit(last.VMs)
-	slices.SortFunc(vms, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
-	l.snapshots = append(l.snapshots, platform.VMSnapshot{At: time.Now(), VMs: vms})
+	slices.SortFunc(vms, func(a, b vmlist.VM) int { return strings.Compare(a.ID, b.ID) })
+	l.snapshots = append(l.snapshots, vmlist.Snapshot{At: time.Now(), VMs: vms})
 	if len(l.snapshots) > keptSnapshots {
 		l.snapshots = slices.Clone(l.snapshots[1:])
 	}
 }
 
-// VMs implements platform.VMList. The snapshot's time is that of the state it
+// VMs implements vmlist.List. The snapshot's time is that of the state it
 // shows, which is the lag before now.
-func (l *VMList) VMs(ctx context.Context) (platform.VMSnapshot, error) {
+func (l *VMList) VMs(ctx context.Context) (vmlist.Snapshot, error) {
 	if err := l.before(ctx, "vmlist.get"); err != nil {
-		return platform.VMSnapshot{}, err
+		return vmlist.Snapshot{}, err
 	}
 	at := time.Now().Add(-time.Duration(l.Faults().LagMS) * time.Millisecond)
 	l.mu.Lock()
@@ -74,7 +74,7 @@
 			seen = snapshot
 		}
 	}
-	return platform.VMSnapshot{At: at, VMs: slices.Clone(seen.VMs)}, nil
+	return vmlist.Snapshot{At: at, VMs: slices.Clone(seen.VMs)}, nil
 }
 
 // ServeHTTP serves the VM list's HTTP/JSON protocol and its fault switches.
@@ -94,7 +94,7 @@
 func (l *VMList) serveVMs(w http.ResponseWriter, r *http.Request) {
 	switch r.Method {
 	case http.MethodPost:
-		var vm platform.VM
+		var vm vmlist.VM
 		if !readJSON(w, r, &vm) {
 			return
 		}
--- a/platform/error.go
+++ b/storage/error.go
@@ -1,4 +1,4 @@
-package platform
+package storage
 
 import (
 	"fmt"
@@ -38,7 +38,7 @@
 
 // Error implements error.
 func (e *Error) Error() string {
-	msg := fmt.Sprintf("platform: %s: %s", e.Op, e.Kind)
+	msg := fmt.Sprintf("storage: %s: %s", e.Op, e.Kind)
 	if e.Key != "" {
 		msg += " on " + e.Key
 	}
--- a/platform/httpcall/httpcall.go
+++ b/storage/httpcall/httpcall.go
@@ -20,8 +20,8 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/wire"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/wire"
 )
 
 const (
@@ -102,7 +102,7 @@
 }
 
 // Do makes the call and returns the body of its answer. A failure is a
-// *platform.Error, whose outcome is unknown when any try of the call may have
+// *storage.Error, whose outcome is unknown when any try of the call may have
 // taken effect.
 func (c *Client) Do(ctx context.Context, call Call) ([]byte, error) {
 	c.budget.deposit()
@@ -113,7 +113,7 @@
 			return body, nil
 		}
 		c.opts.Scope.Counter("platform_failures").Inc(1)
-		unknown := call.Write && err.Outcome == platform.OutcomeUnknown
+		unknown := call.Write && err.Outcome == storage.OutcomeUnknown
 		ambiguous = ambiguous || unknown
 		if !retryable(call, err) || !c.budget.withdraw() {
 			return nil, backoff.Permanent(err)
@@ -129,16 +129,16 @@
 }
 
 func failure(call Call, err error, ambiguous bool) error {
-	var perr *platform.Error
+	var perr *storage.Error
 	if !errors.As(err, &perr) {
-		outcome := platform.OutcomeNotDone
+		outcome := storage.OutcomeNotDone
 		if ambiguous {
-			outcome = platform.OutcomeUnknown
+			outcome = storage.OutcomeUnknown
 		}
-		return &platform.Error{Op: call.Op, Kind: platform.KindTimeout, Outcome: outcome, Key: call.Key, Cause: err}
+		return &storage.Error{Op: call.Op, Kind: storage.KindTimeout, Outcome: outcome, Key: call.Key, Cause: err}
 	}
 	if ambiguous {
-		perr.Outcome = platform.OutcomeUnknown
+		perr.Outcome = storage.OutcomeUnknown
 	}
 	return perr
 }
@@ -158,16 +158,16 @@
 	return b
 }
 
-func retryable(call Call, err *platform.Error) bool {
+func retryable(call Call, err *storage.Error) bool {
 	switch err.Kind {
-	case platform.KindUnavailable, platform.KindTimeout:
-		return err.Outcome == platform.OutcomeNotDone || !call.Write || call.Repeatable
+	case storage.KindUnavailable, storage.KindTimeout:
+		return err.Outcome == storage.OutcomeNotDone || !call.Write || call.Repeatable
 	default:
 		return false
 	}
 }
 
-func (c *Client) try(ctx context.Context, call Call) ([]byte, *platform.Error) {
+func (c *Client) try(ctx context.Context, call Call) ([]byte, *storage.Error) {
 	timeout := call.Timeout
 	if timeout == 0 {
 		timeout = c.opts.Timeout
@@ -178,7 +178,7 @@
 	ctx = httptrace.WithClientTrace(ctx, conn.hooks())
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.base+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
-		return nil, fail(call, platform.KindInvalid, platform.OutcomeNotDone, err)
+		return nil, fail(call, storage.KindInvalid, storage.OutcomeNotDone, err)
 	}
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
@@ -190,7 +190,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes))
 	if err != nil {
-		return nil, fail(call, kindOf(ctx), platform.OutcomeUnknown, err)
+		return nil, fail(call, kindOf(ctx), storage.OutcomeUnknown, err)
 	}
 	if resp.StatusCode >= 200 && resp.StatusCode < 300 {
 		return body, nil
@@ -198,15 +198,15 @@
 	return nil, decodeFailure(call, resp.StatusCode, body)
 }
 
-func kindOf(ctx context.Context) platform.ErrorKind {
+func kindOf(ctx context.Context) storage.ErrorKind {
 	if ctx.Err() != nil {
-		return platform.KindTimeout
+		return storage.KindTimeout
 	}
-	return platform.KindUnavailable
+	return storage.KindUnavailable
 }
 
-func fail(call Call, kind platform.ErrorKind, outcome platform.Outcome, cause error) *platform.Error {
-	return &platform.Error{Op: call.Op, Kind: kind, Outcome: outcome, Key: call.Key, Cause: cause}
+func fail(call Call, kind storage.ErrorKind, outcome storage.Outcome, cause error) *storage.Error {
+	return &storage.Error{Op: call.Op, Kind: kind, Outcome: outcome, Key: call.Key, Cause: cause}
 }
 
 // StatusError is an answer whose status is not 2xx.
@@ -220,16 +220,16 @@
 	return "status " + strconv.Itoa(e.Status) + ": " + e.Detail
 }
 
-func decodeFailure(call Call, status int, body []byte) *platform.Error {
+func decodeFailure(call Call, status int, body []byte) *storage.Error {
 	var msg wire.Failure
 	if err := json.Unmarshal(body, &msg); err != nil || msg.Kind == "" {
 		detail := string(body[:min(len(body), maxDetailBytes)])
 		cause := &StatusError{Status: status, Detail: detail}
-		return fail(call, platform.KindUnavailable, platform.OutcomeUnknown, cause)
+		return fail(call, storage.KindUnavailable, storage.OutcomeUnknown, cause)
 	}
-	outcome := platform.OutcomeUnknown
+	outcome := storage.OutcomeUnknown
 	if msg.NotDone {
-		outcome = platform.OutcomeNotDone
+		outcome = storage.OutcomeNotDone
 	}
 	perr := fail(call, msg.Kind, outcome, &StatusError{Status: status, Detail: msg.Detail})
 	if msg.Key != "" {
@@ -251,9 +251,9 @@
 	}
 }
 
-func (t *connTrace) outcome() platform.Outcome {
+func (t *connTrace) outcome() storage.Outcome {
 	if t.asked.Load() && !t.got.Load() {
-		return platform.OutcomeNotDone
+		return storage.OutcomeNotDone
 	}
-	return platform.OutcomeUnknown
+	return storage.OutcomeUnknown
 }
--- a/platform/objecthttp/objecthttp.go
+++ b/storage/objecthttp/objecthttp.go
@@ -9,27 +9,27 @@
 	"net/url"
 	"strconv"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/httpcall"
-	"jackdawswitch/platform/wire"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/httpcall"
+	"jackdawswitch/storage/wire"
 )
 
 // Options configures the client.
 type Options = httpcall.Options
 
-// Client implements platform.ObjectStore. It is safe for concurrent use.
+// Client implements storage.ObjectStore. It is safe for concurrent use.
 type Client struct {
 	calls *httpcall.Client
 }
 
-var _ platform.ObjectStore = (*Client)(nil)
+var _ storage.ObjectStore = (*Client)(nil)
 
 // New returns a client of the object store at baseURL.
 func New(baseURL string, opts Options) *Client {
 	return &Client{calls: httpcall.New(baseURL, opts)}
 }
 
-// PutIfAbsent implements platform.ObjectStore. Objects never change, so that
+// PutIfAbsent implements storage.ObjectStore. Objects never change, so that
 // repeating a put is safe; a conflict after a lost answer is resolved by
 // comparing the object with data.
 func (c *Client) PutIfAbsent(ctx context.Context, key string, data []byte) error {
@@ -50,15 +50,15 @@
 	if err == nil {
 		return nil
 	}
-	if platform.OutcomeOf(err) == platform.OutcomeNotDone {
+	if storage.OutcomeOf(err) == storage.OutcomeNotDone {
 		return err
 	}
 	return c.resolve(ctx, call, data, err)
 }
 
 func (c *Client) resolve(ctx context.Context, call httpcall.Call, data []byte, cause error) error {
-	unknown := &platform.Error{
-		Op: call.Op, Kind: platform.KindUnavailable, Outcome: platform.OutcomeUnknown, Key: call.Key, Cause: cause,
+	unknown := &storage.Error{
+		Op: call.Op, Kind: storage.KindUnavailable, Outcome: storage.OutcomeUnknown, Key: call.Key, Cause: cause,
 	}
 	stored, err := c.Get(ctx, call.Key)
 	if err != nil {
@@ -67,12 +67,12 @@
 	if bytes.Equal(stored, data) {
 		return nil
 	}
-	unknown.Kind = platform.KindConflict
-	unknown.Outcome = platform.OutcomeNotDone
+	unknown.Kind = storage.KindConflict
+	unknown.Outcome = storage.OutcomeNotDone
 	return unknown
 }
 
-// Get implements platform.ObjectStore.
+// Get implements storage.ObjectStore.
 func (c *Client) Get(ctx context.Context, key string) ([]byte, error) {
 	call := httpcall.Call{Op: "object.get", Key: key, Method: http.MethodGet, Path: objectPath(key)}
 	answer, err := c.calls.Do(ctx, call)
@@ -82,7 +82,7 @@
 	return answer, nil
 }
 
-// List implements platform.ObjectStore.
+// List implements storage.ObjectStore.
 func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]string, error) {
 	query := url.Values{}
 	query.Set(wire.ParamPrefix, prefix)
@@ -97,7 +97,7 @@
 	}
 	var msg wire.Keys
 	if err := json.Unmarshal(answer, &msg); err != nil {
-		return nil, &platform.Error{Op: call.Op, Kind: platform.KindUnavailable, Key: prefix, Cause: err}
+		return nil, &storage.Error{Op: call.Op, Kind: storage.KindUnavailable, Key: prefix, Cause: err}
 	}
 	return msg.Keys, nil
 }
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,17 +1,14 @@
-// Package platform declares what the system needs of the platform it runs on:
-// a transactional table, an object store and the list of VMs. Everything that
-// must last or be agreed between processes goes through these interfaces.
+// Package storage declares what the system needs of the durable services it runs
+// on: a transactional table and an object store. Everything that must last or be
+// agreed between processes goes through these interfaces.
 //
 // Every write ends in one of three outcomes. Done means the write took effect.
 // Not done means it did not and never will. Unknown means that the answer was
 // lost: the write may have taken effect, may still, or may not. An unknown
 // outcome is resolved by reading back the write's own id, see Row.Writer.
-package platform
+package storage
 
-import (
-	"context"
-	"time"
-)
+import "context"
 
 // Outcome is what is known of a write.
 type Outcome int
@@ -92,29 +89,3 @@
 	// after, in order.
 	List(ctx context.Context, prefix, after string, limit int) ([]string, error)
 }
-
-// VMState is the platform's word on a VM.
-type VMState string
-
-// The states of a listed VM.
-const (
-	VMLive    VMState = "live"
-	VMLeaving VMState = "leaving"
-)
-
-// VM is one VM of the platform's list.
-type VM struct {
-	ID    string  `json:"id"`
-	State VMState `json:"state"`
-}
-
-// VMSnapshot is the list of VMs as it was at a time in the past.
-type VMSnapshot struct {
-	At  time.Time `json:"at"`
-	VMs []VM      `json:"vms"`
-}
-
-// VMList is the platform's list of VMs, which lags.
-type VMList interface {
-	VMs(ctx context.Context) (VMSnapshot, error)
-}
--- a/platform/tablehttp/linear_test.go
+++ b/storage/tablehttp/linear_test.go
@@ -12,10 +12,10 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/tablehttp"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/standin"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/tablehttp"
 )
 
 const (
@@ -32,12 +32,12 @@
 // tableInput is a get of all keys, or a transaction whose conditions are told
 // by the writers seen.
 type tableInput struct {
-	txn     *platform.Transaction
+	txn     *storage.Transaction
 	writers map[string]string
 }
 
 type tableOutput struct {
-	outcome  platform.Outcome
+	outcome  storage.Outcome
 	conflict bool
 	rows     tableState
 }
@@ -54,13 +54,13 @@
 	}
 	after, holds := applyTable(before, in)
 	switch {
-	case out.outcome == platform.OutcomeUnknown && holds:
+	case out.outcome == storage.OutcomeUnknown && holds:
 		return []any{before, after}
-	case out.outcome == platform.OutcomeUnknown:
+	case out.outcome == storage.OutcomeUnknown:
 		return []any{before}
-	case out.outcome == platform.OutcomeDone && holds:
+	case out.outcome == storage.OutcomeDone && holds:
 		return []any{after}
-	case out.outcome == platform.OutcomeNotDone && (!out.conflict || !holds):
+	case out.outcome == storage.OutcomeNotDone && (!out.conflict || !holds):
 		return []any{before}
 	}
 	return nil
@@ -127,7 +127,7 @@
 	h.versions[version] = writer
 }
 
-func (h *history) client(ctx context.Context, id int, rng *rand.Rand, table platform.Table) {
+func (h *history) client(ctx context.Context, id int, rng *rand.Rand, table storage.Table) {
 	for op := range linearOps {
 		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
 		rows := h.get(ctx, id, table)
@@ -139,14 +139,14 @@
 	}
 }
 
-func (h *history) get(ctx context.Context, id int, table platform.Table) map[string]platform.Row {
+func (h *history) get(ctx context.Context, id int, table storage.Table) map[string]storage.Row {
 	call := h.tick()
 	list, err := table.Get(ctx, linearKeys...)
 	if err != nil {
 		return nil
 	}
 	state := tableState{}
-	rows := make(map[string]platform.Row)
+	rows := make(map[string]storage.Row)
 	for _, row := range list {
 		state[row.Key] = row.Writer
 		rows[row.Key] = row
@@ -159,23 +159,23 @@
 }
 
 // randomTxn writes one or two rows, under conditions on each it writes.
-func randomTxn(id string, rng *rand.Rand, rows map[string]platform.Row) platform.Transaction {
-	txn := platform.Transaction{ID: id}
+func randomTxn(id string, rng *rand.Rand, rows map[string]storage.Row) storage.Transaction {
+	txn := storage.Transaction{ID: id}
 	order := rng.Perm(len(linearKeys))
 	for _, at := range order[:1+rng.IntN(2)] {
 		key := linearKeys[at]
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: key, Version: rows[key].Version})
+		txn.Conditions = append(txn.Conditions, storage.Condition{Key: key, Version: rows[key].Version})
 		if _, exists := rows[key]; exists && rng.IntN(4) == 0 {
 			txn.Deletes = append(txn.Deletes, key)
 		} else {
-			txn.Puts = append(txn.Puts, platform.Put{Key: key})
+			txn.Puts = append(txn.Puts, storage.Put{Key: key})
 		}
 	}
 	return txn
 }
 
 func (h *history) commit(
-	ctx context.Context, id int, table platform.Table, txn platform.Transaction, rows map[string]platform.Row,
+	ctx context.Context, id int, table storage.Table, txn storage.Transaction, rows map[string]storage.Row,
 ) {
 	in := tableInput{txn: &txn, writers: make(map[string]string)}
 	for key, row := range rows {
@@ -184,14 +184,14 @@
 	call := h.tick()
 	commit, err := table.Commit(ctx, txn)
 	out := tableOutput{
-		outcome:  platform.OutcomeOf(err),
-		conflict: platform.IsKind(err, platform.KindConflict),
+		outcome:  storage.OutcomeOf(err),
+		conflict: storage.IsKind(err, storage.KindConflict),
 	}
-	if out.outcome == platform.OutcomeDone {
+	if out.outcome == storage.OutcomeDone {
 		h.see(commit.Version, txn.ID)
 	}
 	op := porcupine.Operation{ClientId: id, Input: in, Call: call, Output: out, Return: h.tick()}
-	if out.outcome == platform.OutcomeUnknown {
+	if out.outcome == storage.OutcomeUnknown {
 		op.Return = 1 << 40
 	}
 	h.add(op)
@@ -217,7 +217,7 @@
 func runHistory(t *testing.T, seed uint64, throughHTTP bool) *history {
 	t.Helper()
 	table := standin.NewTable()
-	var subject platform.Table = table
+	var subject storage.Table = table
 	if throughHTTP {
 		subject = tablehttp.New("http://"+host, tablehttp.Options{Transport: serve(t, memnet.New(), table)})
 	}
--- a/platform/tablehttp/resolve.go
+++ b/storage/tablehttp/resolve.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"jackdawswitch/platform"
+	"jackdawswitch/storage"
 )
 
 // repeatable reports whether the transaction takes effect at most once however
@@ -12,7 +12,7 @@
 // that the row has had: its own effect moves the row on, and versions are not
 // used twice. A condition of absence isn't enough, since the row can have been
 // written by this transaction and deleted by another since.
-func repeatable(txn platform.Transaction) bool {
+func repeatable(txn storage.Transaction) bool {
 	written := writtenKeys(txn)
 	for _, cond := range txn.Conditions {
 		if _, ok := written[cond.Key]; ok && cond.Version > 0 {
@@ -22,7 +22,7 @@
 	return false
 }
 
-func writtenKeys(txn platform.Transaction) map[string]struct{} {
+func writtenKeys(txn storage.Transaction) map[string]struct{} {
 	written := make(map[string]struct{}, len(txn.Puts)+len(txn.Deletes))
 	for _, put := range txn.Puts {
 		written[put.Key] = struct{}{}
@@ -34,7 +34,7 @@
 }
 
 // evidence returns the keys of the rows that tell what became of txn.
-func evidence(txn platform.Transaction) []string {
+func evidence(txn storage.Transaction) []string {
 	keys := writtenKeys(txn)
 	for _, cond := range txn.Conditions {
 		keys[cond.Key] = struct{}{}
@@ -43,7 +43,7 @@
 }
 
 type verdict struct {
-	outcome platform.Outcome
+	outcome storage.Outcome
 	// version is that of the rows written, when the outcome is done.
 	version uint64
 	// key is the row whose condition failed, when the outcome is not done.
@@ -56,14 +56,14 @@
 // not so far; another whose version has moved on proves that it never will,
 // since versions are not used twice. Conditions of absence prove neither, as
 // a row can come and go.
-func judge(txn platform.Transaction, rows []platform.Row) verdict {
-	current := make(map[string]platform.Row, len(rows))
+func judge(txn storage.Transaction, rows []storage.Row) verdict {
+	current := make(map[string]storage.Row, len(rows))
 	for _, row := range rows {
 		current[row.Key] = row
 	}
 	for _, put := range txn.Puts {
 		if row, ok := current[put.Key]; ok && row.Writer == txn.ID {
-			return verdict{outcome: platform.OutcomeDone, version: row.Version}
+			return verdict{outcome: storage.OutcomeDone, version: row.Version}
 		}
 	}
 	written := writtenKeys(txn)
@@ -82,7 +82,7 @@
 		}
 	}
 	if untouched && failed != "" {
-		return verdict{outcome: platform.OutcomeNotDone, key: failed}
+		return verdict{outcome: storage.OutcomeNotDone, key: failed}
 	}
-	return verdict{outcome: platform.OutcomeUnknown}
+	return verdict{outcome: storage.OutcomeUnknown}
 }
--- a/platform/tablehttp/tablehttp.go
+++ b/storage/tablehttp/tablehttp.go
@@ -11,9 +11,9 @@
 
 	"github.com/pkg/errors"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/httpcall"
-	"jackdawswitch/platform/wire"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/httpcall"
+	"jackdawswitch/storage/wire"
 )
 
 const (
@@ -25,25 +25,25 @@
 // Options configures the client.
 type Options = httpcall.Options
 
-// Client implements platform.Table. It is safe for concurrent use.
+// Client implements storage.Table. It is safe for concurrent use.
 type Client struct {
 	calls *httpcall.Client
 }
 
-var _ platform.Table = (*Client)(nil)
+var _ storage.Table = (*Client)(nil)
 
 // New returns a client of the table at baseURL.
 func New(baseURL string, opts Options) *Client {
 	return &Client{calls: httpcall.New(baseURL, opts)}
 }
 
-// Commit implements platform.Table. It repeats a transaction whose outcome is
+// Commit implements storage.Table. It repeats a transaction whose outcome is
 // unknown only when the transaction writes a row under a condition on a version
 // above 0, and resolves an unknown outcome by reading the rows back.
-func (c *Client) Commit(ctx context.Context, txn platform.Transaction) (platform.Commit, error) {
+func (c *Client) Commit(ctx context.Context, txn storage.Transaction) (storage.Commit, error) {
 	body, err := json.Marshal(txn)
 	if err != nil {
-		return platform.Commit{}, invalid("table.commit", err)
+		return storage.Commit{}, invalid("table.commit", err)
 	}
 	call := httpcall.Call{
 		Op:         "table.commit",
@@ -56,46 +56,46 @@
 	}
 	answer, err := c.calls.Do(ctx, call)
 	if err == nil {
-		var commit platform.Commit
+		var commit storage.Commit
 		if err := json.Unmarshal(answer, &commit); err != nil {
-			return platform.Commit{}, garbled(call, err)
+			return storage.Commit{}, garbled(call, err)
 		}
 		return commit, nil
 	}
-	if platform.OutcomeOf(err) == platform.OutcomeNotDone {
-		return platform.Commit{}, err
+	if storage.OutcomeOf(err) == storage.OutcomeNotDone {
+		return storage.Commit{}, err
 	}
 	return c.resolve(ctx, txn, err)
 }
 
 // resolve finds out by reading back whether a transaction that failed with an
 // unknown outcome took effect.
-func (c *Client) resolve(ctx context.Context, txn platform.Transaction, cause error) (platform.Commit, error) {
-	var perr *platform.Error
+func (c *Client) resolve(ctx context.Context, txn storage.Transaction, cause error) (storage.Commit, error) {
+	var perr *storage.Error
 	if !errors.As(cause, &perr) {
-		perr = &platform.Error{Op: "table.commit", Kind: platform.KindUnavailable, Cause: cause}
+		perr = &storage.Error{Op: "table.commit", Kind: storage.KindUnavailable, Cause: cause}
 	}
 	unresolved := *perr
-	unresolved.Outcome = platform.OutcomeUnknown
+	unresolved.Outcome = storage.OutcomeUnknown
 	rows, err := c.Get(ctx, evidence(txn)...)
 	if err != nil {
-		return platform.Commit{}, &unresolved
+		return storage.Commit{}, &unresolved
 	}
 	verdict := judge(txn, rows)
 	switch verdict.outcome {
-	case platform.OutcomeDone:
-		return platform.Commit{Version: verdict.version}, nil
-	case platform.OutcomeNotDone:
-		return platform.Commit{}, &platform.Error{
-			Op: perr.Op, Kind: platform.KindConflict, Outcome: platform.OutcomeNotDone, Key: verdict.key, Cause: cause,
+	case storage.OutcomeDone:
+		return storage.Commit{Version: verdict.version}, nil
+	case storage.OutcomeNotDone:
+		return storage.Commit{}, &storage.Error{
+			Op: perr.Op, Kind: storage.KindConflict, Outcome: storage.OutcomeNotDone, Key: verdict.key, Cause: cause,
 		}
 	default:
-		return platform.Commit{}, &unresolved
+		return storage.Commit{}, &unresolved
 	}
 }
 
-// Get implements platform.Table.
-func (c *Client) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+// Get implements storage.Table.
+func (c *Client) Get(ctx context.Context, keys ...string) ([]storage.Row, error) {
 	if len(keys) == 0 {
 		return nil, nil
 	}
@@ -109,8 +109,8 @@
 	return c.rows(ctx, call)
 }
 
-// List implements platform.Table.
-func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+// List implements storage.Table.
+func (c *Client) List(ctx context.Context, prefix, after string, limit int) ([]storage.Row, error) {
 	query := url.Values{}
 	query.Set(wire.ParamPrefix, prefix)
 	query.Set(wire.ParamAfter, after)
@@ -121,9 +121,9 @@
 	return c.rows(ctx, call)
 }
 
-// Watch implements platform.Table. It keeps asking until a row has changed or
+// Watch implements storage.Table. It keeps asking until a row has changed or
 // ctx ends; a service that cannot be reached ends it with an error.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]platform.Row, error) {
+func (c *Client) Watch(ctx context.Context, prefix string, after uint64) ([]storage.Row, error) {
 	for ctx.Err() == nil {
 		query := url.Values{}
 		query.Set(wire.ParamPrefix, prefix)
@@ -163,7 +163,7 @@
 	}
 }
 
-func (c *Client) rows(ctx context.Context, call httpcall.Call) ([]platform.Row, error) {
+func (c *Client) rows(ctx context.Context, call httpcall.Call) ([]storage.Row, error) {
 	body, err := c.calls.Do(ctx, call)
 	if err != nil {
 		return nil, err
@@ -176,14 +176,14 @@
 }
 
 func invalid(op string, cause error) error {
-	return &platform.Error{Op: op, Kind: platform.KindInvalid, Outcome: platform.OutcomeNotDone, Cause: cause}
+	return &storage.Error{Op: op, Kind: storage.KindInvalid, Outcome: storage.OutcomeNotDone, Cause: cause}
 }
 
 func garbled(call httpcall.Call, cause error) error {
-	return &platform.Error{Op: call.Op, Kind: platform.KindUnavailable, Outcome: platform.OutcomeUnknown, Key: call.Key, Cause: cause}
+	return &storage.Error{Op: call.Op, Kind: storage.KindUnavailable, Outcome: storage.OutcomeUnknown, Key: call.Key, Cause: cause}
 }
 
-func firstKey(txn platform.Transaction) string {
+func firstKey(txn storage.Transaction) string {
 	if len(txn.Puts) > 0 {
 		return txn.Puts[0].Key
 	}
--- a/platform/tablehttp/tablehttp_test.go
+++ b/storage/tablehttp/tablehttp_test.go
@@ -8,12 +8,13 @@
 	"testing/synctest"
 	"time"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/objecthttp"
-	"jackdawswitch/platform/tablehttp"
-	"jackdawswitch/platform/vmlisthttp"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/standin"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/objecthttp"
+	"jackdawswitch/storage/tablehttp"
+	"jackdawswitch/vmlist"
+	"jackdawswitch/vmlist/vmlisthttp"
 )
 
 const host = "platform"
@@ -39,11 +40,11 @@
 	return transport
 }
 
-func put(id, key string, version uint64) platform.Transaction {
-	return platform.Transaction{
+func put(id, key string, version uint64) storage.Transaction {
+	return storage.Transaction{
 		ID:         id,
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: []byte(id)}},
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: []byte(id)}},
 	}
 }
 
@@ -65,7 +66,7 @@
 			t.Errorf("%d commits, want 2", stats.Commits)
 		}
 		_, err = client.Commit(t.Context(), put("t3", "a", first.Version))
-		if !platform.IsKind(err, platform.KindConflict) || platform.OutcomeOf(err) != platform.OutcomeNotDone {
+		if !storage.IsKind(err, storage.KindConflict) || storage.OutcomeOf(err) != storage.OutcomeNotDone {
 			t.Errorf("conflict: %v", err)
 		}
 	})
@@ -75,11 +76,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.NewTable()
 		client := tablehttp.New("http://"+host, tablehttp.Options{Transport: serve(t, memnet.New(), table)})
-		for _, conditions := range [][]platform.Condition{nil, {{Key: "a"}}} {
-			txn := platform.Transaction{ID: "t1", Conditions: conditions, Puts: []platform.Put{{Key: "a"}}}
+		for _, conditions := range [][]storage.Condition{nil, {{Key: "a"}}} {
+			txn := storage.Transaction{ID: "t1", Conditions: conditions, Puts: []storage.Put{{Key: "a"}}}
 			table.SetFaults(standin.Faults{LoseWrites: 1})
 			_, err := client.Commit(t.Context(), txn)
-			if platform.OutcomeOf(err) != platform.OutcomeUnknown || table.Stats().Commits != 0 {
+			if storage.OutcomeOf(err) != storage.OutcomeUnknown || table.Stats().Commits != 0 {
 				t.Errorf("lost write: %v after %d commits", err, table.Stats().Commits)
 			}
 		}
@@ -99,7 +100,7 @@
 		table.SetFaults(standin.Faults{DelayMS: 60_000})
 		begun := time.Now()
 		_, err := client.Commit(t.Context(), put("t1", "a", 0))
-		if platform.OutcomeOf(err) != platform.OutcomeUnknown || !platform.IsKind(err, platform.KindTimeout) {
+		if storage.OutcomeOf(err) != storage.OutcomeUnknown || !storage.IsKind(err, storage.KindTimeout) {
 			t.Errorf("slow: %v", err)
 		}
 		if took := time.Since(begun); took > 30*time.Second {
@@ -108,7 +109,7 @@
 		table.SetFaults(standin.Faults{})
 		network.Cut("client", host)
 		_, err = client.Commit(t.Context(), put("t2", "b", 0))
-		if platform.OutcomeOf(err) != platform.OutcomeNotDone {
+		if storage.OutcomeOf(err) != storage.OutcomeNotDone {
 			t.Errorf("cut off: %v, want not done", err)
 		}
 	})
@@ -143,7 +144,7 @@
 		if err := client.PutIfAbsent(t.Context(), "batch/a b", []byte("one")); err != nil {
 			t.Errorf("lost answer: %v", err)
 		}
-		if err := client.PutIfAbsent(t.Context(), "batch/a b", []byte("two")); !platform.IsKind(err, platform.KindConflict) {
+		if err := client.PutIfAbsent(t.Context(), "batch/a b", []byte("two")); !storage.IsKind(err, storage.KindConflict) {
 			t.Errorf("taken key: %v", err)
 		}
 		data, err := client.Get(t.Context(), "batch/a b")
@@ -151,7 +152,7 @@
 		if string(data) != "one" || err != nil || lerr != nil || len(keys) != 1 || keys[0] != "batch/a b" {
 			t.Errorf("got %q, %v; %v, %v", data, err, keys, lerr)
 		}
-		if _, err := client.Get(t.Context(), "none"); !platform.IsKind(err, platform.KindNotFound) {
+		if _, err := client.Get(t.Context(), "none"); !storage.IsKind(err, storage.KindNotFound) {
 			t.Errorf("missing object: %v", err)
 		}
 	})
@@ -161,7 +162,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		list := standin.NewVMList()
 		client := vmlisthttp.New("http://"+host, vmlisthttp.Options{Transport: serve(t, memnet.New(), list)})
-		list.Set("vm-1", platform.VMLive)
+		list.Set("vm-1", vmlist.Live)
 		list.SetFaults(standin.Faults{LagMS: 5000})
 		count := func() int {
 			t.Helper()
--- a/platform/wire/wire.go
+++ b/storage/wire/wire.go
@@ -2,7 +2,7 @@
 // platform's table, object store and VM list are spoken to with.
 package wire
 
-import "jackdawswitch/platform"
+import "jackdawswitch/storage"
 
 // The paths of the table service.
 const (
@@ -34,7 +34,7 @@
 
 // Rows is the answer to a get, a list or a watch.
 type Rows struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []storage.Row `json:"rows"`
 }
 
 // Keys is the answer to a list of objects.
@@ -44,7 +44,7 @@
 
 // Failure is the body of an answer whose status is not 2xx.
 type Failure struct {
-	Kind platform.ErrorKind `json:"kind"`
+	Kind storage.ErrorKind `json:"kind"`
 	// NotDone is set when the call took no effect and never will.
 	NotDone bool   `json:"notDone"`
 	Key     string `json:"key,omitempty"`
--- a/platform/vmlisthttp/vmlisthttp.go
+++ b/vmlist/vmlisthttp/vmlisthttp.go
@@ -6,36 +6,37 @@
 	"encoding/json"
 	"net/http"
 
-	"jackdawswitch/platform"
-	"jackdawswitch/platform/httpcall"
-	"jackdawswitch/platform/wire"
+	"jackdawswitch/storage"
+	"jackdawswitch/storage/httpcall"
+	"jackdawswitch/storage/wire"
+	"jackdawswitch/vmlist"
 )
 
 // Options configures the client.
 type Options = httpcall.Options
 
-// Client implements platform.VMList. It is safe for concurrent use.
+// Client implements vmlist.List. It is safe for concurrent use.
 type Client struct {
 	calls *httpcall.Client
 }
 
-var _ platform.VMList = (*Client)(nil)
+var _ vmlist.List = (*Client)(nil)
 
 // New returns a client of the VM list at baseURL.
 func New(baseURL string, opts Options) *Client {
 	return &Client{calls: httpcall.New(baseURL, opts)}
 }
 
-// VMs implements platform.VMList.
-func (c *Client) VMs(ctx context.Context) (platform.VMSnapshot, error) {
+// VMs implements vmlist.List.
+func (c *Client) VMs(ctx context.Context) (vmlist.Snapshot, error) {
 	call := httpcall.Call{Op: "vmlist.get", Method: http.MethodGet, Path: wire.PathVMs}
 	answer, err := c.calls.Do(ctx, call)
 	if err != nil {
-		return platform.VMSnapshot{}, err
+		return vmlist.Snapshot{}, err
 	}
-	var snapshot platform.VMSnapshot
+	var snapshot vmlist.Snapshot
 	if err := json.Unmarshal(answer, &snapshot); err != nil {
-		return platform.VMSnapshot{}, &platform.Error{Op: call.Op, Kind: platform.KindUnavailable, Cause: err}
+		return vmlist.Snapshot{}, &storage.Error{Op: call.Op, Kind: storage.KindUnavailable, Cause: err}
 	}
 	return snapshot, nil
 }
