--- /dev/null
+++ b/cmd/jackdaw-edge/main.go
@@ -0,0 +1,106 @@
+// Command jackdaw-edge runs a router on the platform of its users, before
+// endpoints that register themselves in the platform's store.
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"jackdawswitch/daemon"
+	"jackdawswitch/direct"
+	"jackdawswitch/ops"
+	"jackdawswitch/platform"
+)
+
+const (
+	name = "jackdaw-edge"
+
+	// defaultOperatorsPort is where metrics, health and the state dump are
+	// served, on the machine's own address.
+	defaultOperatorsPort = 9464
+
+	// memoryShare is the part of the machine's memory at which the runtime
+	// collects garbage harder. The rest covers what it doesn't count, such as
+	// bytes in the kernel's socket buffers.
+	memoryShare = 0.6
+)
+
+func main() {
+	port, check := defaultOperatorsPort, false
+	flaggy.SetName(name)
+	flaggy.SetDescription("Routes callers' requests to endpoints that register themselves.")
+	flaggy.SetVersion(daemon.Version)
+	flaggy.Int(&port, "p", "operators-port", "The port of metrics, health and the state dump.")
+	flaggy.Bool(&check, "c", "check", "Check the settings and exit.")
+	flaggy.Parse()
+
+	output := daemon.NewAsyncWriter(os.Stdout)
+	logger := slog.New(slog.NewJSONHandler(output, nil))
+	slog.SetDefault(logger)
+	code := start(port, check, logger)
+	output.Close()
+	os.Exit(code)
+}
+
+func start(port int, check bool, logger *slog.Logger) int {
+	set, err := platform.LoadSettings()
+	if err != nil {
+		logger.Error("settings refused", "error", err.Error())
+		return daemon.ExitSettings
+	}
+	if check {
+		logger.Info("settings are valid")
+		return daemon.ExitOK
+	}
+	if err := run(set, port, logger); err != nil {
+		logger.Error("process failed", "error", err.Error())
+		return daemon.ExitFailure
+	}
+	return daemon.ExitOK
+}
+
+func run(set *platform.Settings, port int, logger *slog.Logger) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	metrics := ops.NewMetrics(name, set.Router.VM)
+	defer func() { _ = metrics.Close() }()
+	store := platform.NewStore(set.Store, logger, metrics.Scope)
+	incarnation := rand.Int64()
+	router := direct.New(direct.Options{
+		Settings: set.Router, Incarnation: incarnation, Protocol: platform.Headers{},
+		Table: store, Logger: logger, Metrics: metrics.Scope,
+	})
+	logger.Info("started", "vm", set.Router.VM, "failure_domain", set.Router.FailureDomain,
+		"incarnation", incarnation, "version", daemon.Version)
+	go reload(logger)
+	go platform.Follow(ctx, store, router, logger)
+	server := ops.NewOnPlatform(router, metrics, logger)
+	listen := net.JoinHostPort(set.Router.IP, strconv.Itoa(port))
+	err := daemon.Run(server, listen, func() error { return router.Run(ctx) })
+	logger.Info("stopped")
+	return err
+}
+
+// reload checks the settings again when a signal says that they changed. What
+// the router uses of them is fixed for a process: addresses and its place.
+func reload(logger *slog.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		if _, err := platform.LoadSettings(); err != nil {
+			logger.Error("changed settings refused, the old ones stay in force", "error", err.Error())
+			continue
+		}
+		logger.Info("settings read again")
+	}
+}
--- /dev/null
+++ b/direct/settings.go
@@ -0,0 +1,22 @@
+package direct
+
+import "time"
+
+// Settings are the static settings of one router.
+type Settings struct {
+	// VM names the machine; FailureDomain and Region are where it is.
+	VM, FailureDomain, Region string
+	// IP is the machine's address, on which operators are served.
+	IP string
+	// Callers and Readiness are the host:port of the listeners.
+	Callers, Readiness string
+	// Grace is the time from the request to stop until the process is killed.
+	Grace time.Duration
+	// Settle is the time without disruption after which a caller may rely on
+	// bounds again.
+	Settle time.Duration
+	// RetryShare is the share of the requests for a service that may be sent
+	// once more in each RetryWindow, with RetrySlack more for the whole fleet.
+	RetryShare, RetrySlack float64
+	RetryWindow            time.Duration
+}
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -37,6 +37,8 @@
 	metrics  *Metrics
 	logger   *slog.Logger
 	routes   map[string]http.Handler
+	// onPlatform is set where the platform reads the metrics and knows no token.
+	onPlatform bool
 }
 
 // New returns a server for process.
@@ -50,6 +52,14 @@
 	}
 }
 
+// NewOnPlatform returns a server for a process whose metrics the platform reads
+// without a token. The dump is then served to callers on the machine itself.
+func NewOnPlatform(process Process, metrics *Metrics, logger *slog.Logger) *Server {
+	s := New(settings.Operators{}, process, metrics, logger)
+	s.onPlatform = true
+	return s
+}
+
 // Handle adds an operators' route, which needs the token. It must be called
 // before Serve.
 func (s *Server) Handle(pattern string, handler http.Handler) {
@@ -61,7 +71,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.health)
 	mux.HandleFunc("GET /readyz", s.ready)
-	mux.Handle("GET /metrics", s.authenticated(s.metrics.handler))
+	if s.onPlatform {
+		mux.Handle("GET /metrics", s.metrics.handler)
+	} else {
+		mux.Handle("GET /metrics", s.authenticated(s.metrics.handler))
+	}
 	mux.Handle("GET /debug/dump", s.authenticated(http.HandlerFunc(s.dump)))
 	for pattern, handler := range s.routes {
 		mux.Handle(pattern, s.authenticated(handler))
@@ -119,10 +133,21 @@
 
 func (s *Server) authenticated(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !secure.TokenMatches(r.Header.Get("Authorization"), s.settings.TokenHash) {
+		if (!s.onPlatform || !fromSameMachine(r)) && !secure.TokenMatches(r.Header.Get("Authorization"), s.settings.TokenHash) {
 			http.Error(w, "operator token required", http.StatusUnauthorized)
 			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
+
+// fromSameMachine reports whether a request came from the address it was made to.
+func fromSameMachine(r *http.Request) bool {
+	local, ok := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	if !ok {
+		return false
+	}
+	own, _, lerr := net.SplitHostPort(local.String())
+	remote, _, rerr := net.SplitHostPort(r.RemoteAddr)
+	return lerr == nil && rerr == nil && own == remote
+}
--- /dev/null
+++ b/prepaid/book.go
@@ -0,0 +1,383 @@
+// Package prepaid keeps what workspaces may spend of their prepaid tokens where
+// routers hold budgets themselves. Each router spends from a grant of its own
+// that is durable before it is used, so that a partition from the table neither
+// lets a workspace overspend nor stops it at once.
+//
+// A Book is pure: events in, decisions out; it reads no clock and does no I/O.
+// Service runs a Book against the table.
+package prepaid
+
+import (
+	"slices"
+	"time"
+)
+
+// Policy weighs false refusals in a partition against credit that is lost with
+// a process that dies, which is the unspent part of its grant.
+type Policy struct {
+	// Horizon is the time of spending that a grant is to cover.
+	Horizon time.Duration
+	// FloorShare is the share of the budget that a grant covers at least, while
+	// the workspace's rate is unknown.
+	FloorShare float64
+	// Taper is the largest share of the ungranted budget that one grant takes.
+	Taper float64
+	// RefillShare is the share of its target below which a grant is refilled.
+	RefillShare float64
+}
+
+// DefaultPolicy covers a partition of 8 s, the longest that the deployments'
+// own days bring about, with what a refill takes.
+func DefaultPolicy() Policy {
+	return Policy{Horizon: 10 * time.Second, FloorShare: 0.02, Taper: 0.25, RefillShare: 0.75}
+}
+
+const (
+	// rateWindow is the time constant of the estimated spending rate.
+	rateWindow = 3 * time.Second
+
+	// scarceShare is the ungranted share of a budget under which holders read
+	// the account more often and hand back what they don't need.
+	scarceShare = 0.25
+
+	// scarceInterval is the time between two reads of a scarce account.
+	scarceInterval = time.Second
+
+	// surplusFactor is the multiple of its target that a grant may reach before
+	// the rest is handed back.
+	surplusFactor = 1.5
+
+	// freshFor is the age up to which a row may say that a budget is exhausted.
+	freshFor = 3 * time.Second
+)
+
+// Verdict is the answer to a reservation.
+type Verdict int
+
+// The verdicts.
+const (
+	// Reserved: the tokens are held until Settle.
+	Reserved Verdict = iota
+	// Short: the grant doesn't cover it; a refill may.
+	Short
+	// Exhausted: the whole workspace can't cover it.
+	Exhausted
+)
+
+// account is what a holder knows of one workspace.
+type account struct {
+	budget int64
+	// row is the newest row read or written, with its version and time.
+	row     Row
+	version uint64
+	readAt  time.Time
+	known   bool
+	// amount is what this process may spend for certain.
+	amount int64
+	// spent is final, reserved is held by open requests at their most.
+	spent, reserved int64
+	// wanted is the largest reservation that was refused as Short since the
+	// last write.
+	wanted int64
+	// unresolved is set while a write's outcome isn't known; it was conditional
+	// on version unresolvedAt.
+	unresolved   bool
+	unresolvedAt uint64
+	rate         float64
+	rateAt       time.Time
+	triedAt      time.Time
+}
+
+func (a *account) available() int64 { return a.amount - a.spent - a.reserved }
+
+func (a *account) ungranted() int64 { return max(a.budget-a.row.granted(), 0) }
+
+// Book is one router's view of the accounts.
+type Book struct {
+	vm          string
+	incarnation int64
+	policy      Policy
+	accounts    map[string]*account
+}
+
+// NewBook returns the empty book of a process. The incarnation is unique among
+// the processes of the VM, of which one runs at a time: a grant of another
+// incarnation is a predecessor's.
+func NewBook(vm string, incarnation int64, policy Policy) *Book {
+	return &Book{vm: vm, incarnation: incarnation, policy: policy, accounts: make(map[string]*account)}
+}
+
+// SetBudgets replaces the budgets. An account whose budget is gone stays, as a
+// later version may bring it back.
+func (b *Book) SetBudgets(budgets map[string]int64) {
+	for workspace, budget := range budgets {
+		a := b.accounts[workspace]
+		if a == nil {
+			a = &account{}
+			b.accounts[workspace] = a
+		}
+		a.budget = budget
+	}
+}
+
+// Reserve holds tokens for a request, at the most it can use.
+func (b *Book) Reserve(now time.Time, workspace string, tokens int64) Verdict {
+	a := b.accounts[workspace]
+	if a == nil {
+		return Exhausted
+	}
+	if a.available() >= tokens {
+		a.reserved += tokens
+		a.observe(now, tokens)
+		return Reserved
+	}
+	a.wanted = max(a.wanted, tokens)
+	if a.known && now.Sub(a.readAt) <= freshFor && b.left(a) < tokens {
+		return Exhausted
+	}
+	return Short
+}
+
+// left is what the whole workspace has left as far as is known.
+func (b *Book) left(a *account) int64 {
+	own := a.row.Grants[b.vm]
+	others := a.row.spent()
+	if own.Incarnation == b.incarnation {
+		others -= own.Spent
+	}
+	return a.budget - others - a.spent - a.reserved
+}
+
+// observe adds tokens to the estimated rate.
+func (a *account) observe(now time.Time, tokens int64) {
+	a.decay(now)
+	a.rate += float64(tokens) / rateWindow.Seconds()
+}
+
+func (a *account) decay(now time.Time) {
+	if a.rateAt.IsZero() {
+		a.rateAt = now
+	}
+	passed := now.Sub(a.rateAt).Seconds() / rateWindow.Seconds()
+	a.rate /= 1 + max(passed, 0)
+	a.rateAt = now
+}
+
+// Settle ends a reservation with what was used, which is at most the
+// reservation.
+func (b *Book) Settle(workspace string, reserved, used int64) {
+	a := b.accounts[workspace]
+	if a == nil {
+		return
+	}
+	a.reserved -= reserved
+	a.spent += min(used, reserved)
+}
+
+// target is the unspent credit that the process wants to hold.
+func (b *Book) target(now time.Time, a *account) int64 {
+	a.decay(now)
+	want := int64(a.rate * b.policy.Horizon.Seconds())
+	if a.ungranted() > int64(scarceShare*float64(a.budget)) {
+		want = max(want, int64(b.policy.FloorShare*float64(a.budget)))
+	}
+	if !a.known {
+		return max(want, a.wanted)
+	}
+	holders := int64(max(len(a.row.Grants), 1))
+	share := max(b.left(a)/holders, 0)
+	return max(min(want, share), a.wanted)
+}
+
+func (b *Book) scarce(a *account) bool {
+	return a.known && a.ungranted() < int64(scarceShare*float64(a.budget))
+}
+
+// Needs returns the workspaces whose account is to be read and written now.
+func (b *Book) Needs(now time.Time) []string {
+	var out []string
+	for workspace, a := range b.accounts {
+		if b.needs(now, a) {
+			out = append(out, workspace)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (b *Book) needs(now time.Time, a *account) bool {
+	if !a.known || a.unresolved || a.wanted > a.available() {
+		return true
+	}
+	target := b.target(now, a)
+	if b.scarce(a) {
+		return now.Sub(a.triedAt) >= scarceInterval && (a.rate > 1 || a.available() > 0)
+	}
+	low := float64(a.available()) < b.policy.RefillShare*float64(target)
+	return low && a.ungranted() > 0
+}
+
+// Write is a conditional replacement of an account's row.
+type Write struct {
+	Workspace string
+	Row       Row
+	// Version is the version that the row must have, 0 for none.
+	Version uint64
+	// amount is the process's grant once the write is done.
+	amount int64
+}
+
+// Plan takes in an account's row as it was just read, with version 0 for none,
+// and returns the write that suits the process; nil when nothing is to change.
+func (b *Book) Plan(now time.Time, workspace string, row Row, version uint64) *Write {
+	a := b.accounts[workspace]
+	if a == nil {
+		return nil
+	}
+	b.take(now, a, row, version)
+	a.triedAt = now
+	next := row.clone()
+	own := b.own(&next)
+	ungranted := max(a.budget-next.granted(), 0)
+	amount := a.amount + b.change(now, a, ungranted)
+	wanted := a.wanted
+	a.wanted = 0
+	unchanged := amount == own.Amount && own.Incarnation == b.incarnation && !a.unresolved && !b.scarce(a)
+	if unchanged || amount == 0 && own.Amount == 0 && wanted == 0 && version > 0 {
+		return nil
+	}
+	next.Grants[b.vm] = Grant{Incarnation: b.incarnation, Amount: amount, Spent: a.spent + a.reserved}
+	// What is handed back must not be spent while the write is under way.
+	a.amount = min(a.amount, amount)
+	return &Write{Workspace: workspace, Row: next, Version: version, amount: amount}
+}
+
+// own returns the process's grant in the row; a predecessor's is retired first,
+// all of it, since nobody knows what was spent since its last write.
+func (b *Book) own(row *Row) Grant {
+	g, ok := row.Grants[b.vm]
+	if ok && g.Incarnation != b.incarnation {
+		row.Retired += g.Amount
+		delete(row.Grants, b.vm)
+		g = Grant{}
+	}
+	return g
+}
+
+// take adopts a row that was read. A write whose outcome is unknown is resolved
+// once the row has moved past the version it required.
+func (b *Book) take(now time.Time, a *account, row Row, version uint64) {
+	a.row, a.version, a.readAt, a.known = row, version, now, true
+	if a.unresolved && version == a.unresolvedAt {
+		return
+	}
+	a.unresolved = false
+	a.amount = 0
+	if g, ok := row.Grants[b.vm]; ok && g.Incarnation == b.incarnation {
+		a.amount = g.Amount
+	}
+}
+
+// change is the tokens to add to the grant, or to hand back when below 0.
+func (b *Book) change(now time.Time, a *account, ungranted int64) int64 {
+	target := b.target(now, a)
+	available := a.available()
+	if available < target {
+		most := max(int64(b.policy.Taper*float64(ungranted)), min(a.wanted, ungranted))
+		return min(target-available, most)
+	}
+	if b.scarce(a) && float64(available) > surplusFactor*float64(target) {
+		return target - available
+	}
+	return 0
+}
+
+// Done takes in that a write took effect.
+func (b *Book) Done(now time.Time, w *Write, version uint64) {
+	a := b.accounts[w.Workspace]
+	a.row, a.version, a.readAt, a.known = w.Row, version, now, true
+	a.amount = w.amount
+	a.unresolved = false
+}
+
+// Failed takes in that a write failed. Unless it provably did not and will not
+// take effect, the next read resolves it.
+func (b *Book) Failed(w *Write, notDone bool) {
+	if notDone {
+		return
+	}
+	a := b.accounts[w.Workspace]
+	a.unresolved = true
+	a.unresolvedAt = w.Version
+}
+
+// PlanLeave returns the write that hands back what is unspent; nil when nothing
+// is. No request may be open.
+func (b *Book) PlanLeave(now time.Time, workspace string, row Row, version uint64) *Write {
+	a := b.accounts[workspace]
+	if a == nil {
+		return nil
+	}
+	b.take(now, a, row, version)
+	next := row.clone()
+	own := b.own(&next)
+	if own.Amount == 0 {
+		return nil
+	}
+	delete(next.Grants, b.vm)
+	next.Retired += a.spent + a.reserved
+	a.amount = 0
+	return &Write{Workspace: workspace, Row: next, Version: version}
+}
+
+// Held returns the workspaces of which the process may hold a grant.
+func (b *Book) Held() []string {
+	var out []string
+	for workspace, a := range b.accounts {
+		if a.amount > 0 || a.unresolved {
+			out = append(out, workspace)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// View is an account as the dump shows it.
+type View struct {
+	Workspace  string  `json:"workspace"`
+	Budget     int64   `json:"budget"`
+	Amount     int64   `json:"amount"`
+	Spent      int64   `json:"spent"`
+	Reserved   int64   `json:"reserved"`
+	Ungranted  int64   `json:"ungranted"`
+	Rate       float64 `json:"tokensPerSecond"`
+	Version    uint64  `json:"version"`
+	Unresolved bool    `json:"unresolved"`
+}
+
+// View returns the accounts in order of workspace.
+func (b *Book) View() []View {
+	out := make([]View, 0, len(b.accounts))
+	for workspace, a := range b.accounts {
+		out = append(out, View{
+			Workspace: workspace, Budget: a.budget, Amount: a.amount, Spent: a.spent, Reserved: a.reserved,
+			Ungranted: a.ungranted(), Rate: a.rate, Version: a.version, Unresolved: a.unresolved,
+		})
+	}
+	slices.SortFunc(out, func(x, y View) int {
+		if x.Workspace < y.Workspace {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Describe returns what a log line tells of one account.
+func (b *Book) Describe(now time.Time, workspace string) (available, ungranted int64, age time.Duration) {
+	a := b.accounts[workspace]
+	if a == nil {
+		return 0, 0, 0
+	}
+	return a.available(), a.ungranted(), now.Sub(a.readAt)
+}
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -118,7 +118,9 @@
 	tokens float64
 }
 
-const retryReserve = 10
+// retryReserve is the repeats a process may make in a row. It is small, as all
+// processes of a fleet may use theirs at once.
+const retryReserve = 6
 
 // NewRetryBudget returns a budget by the rules, with a small reserve.
 func NewRetryBudget(rules config.RoutingRules) *RetryBudget {
