State how fast a grant is spent, so that a dead process loses little of it

Ruled out: the start of the processes (ready after 0.7 s) and the registrations. Change: each process states base, burst and rate of its spending in a row of its own; its successor on the VM retires what that allowed by the table's clock. The old and the new statement both bind while a write is unknown.

--- a/direct/serve.go
+++ b/direct/serve.go
@@ -152,13 +152,19 @@
 		x.reserved = tokens
 		return nil
 	}
-	available, ungranted, age := r.credit.Describe(x.workspace)
+	account := r.credit.Describe(x.workspace)
 	r.logger.Info("credit not reserved", "request", x.in.ID, "workspace", x.workspace, "tokens", tokens,
-		"available", available, "ungranted", ungranted, "age_ms", age.Milliseconds(), "exhausted", verdict == prepaidExhausted)
+		"available", account.Available, "unspent", account.Unspent, "ungranted", account.Ungranted,
+		"age_ms", account.Age.Milliseconds(), "statement_age_ms", account.StatementAge.Milliseconds(),
+		"exhausted", verdict == prepaidExhausted)
 	if verdict == prepaidExhausted {
 		return refusal.NotRun(refusal.CauseCreditExhausted, "workspace %s", x.workspace)
 	}
-	return refusal.NotRun(refusal.CauseCreditUnreached, "workspace %s", x.workspace).After(creditRetryAfter)
+	wait := r.credit.RefillIn(x.workspace, tokens)
+	if wait == 0 {
+		wait = creditRetryAfter
+	}
+	return refusal.NotRun(refusal.CauseCreditUnreached, "workspace %s", x.workspace).After(wait)
 }
 
 // settle ends the reservation with what was used: the prompt once if the request
--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -3,6 +3,11 @@
 // that is durable before it is used, so that a partition from the table neither
 // lets a workspace overspend nor stops it at once.
 //
+// A grant is large enough for a partition; most of it would be lost with a
+// process that dies. So each process also states, in a row of its own, how much
+// it has spent and how fast it may go on until its next statement. Its successor
+// on the VM retires only what that allowed.
+//
 // A Book is pure: events in, decisions out; it reads no clock and does no I/O.
 // Service runs a Book against the table.
 package prepaid
@@ -17,8 +22,7 @@
 type Policy struct {
 	// Horizon is the time of spending that a grant is to cover.
 	Horizon time.Duration
-	// FloorShare is the share of the budget that a grant covers at least, while
-	// the workspace's rate is unknown.
+	// FloorShare is the share of the budget that a grant covers at least.
 	FloorShare float64
 	// Taper is the largest share of the ungranted budget that one grant takes.
 	Taper float64
@@ -72,6 +76,7 @@
 	version uint64
 	readAt  time.Time
 	known   bool
+	knownAt time.Time
 	// amount is what this process may spend for certain.
 	amount int64
 	// spent is final, reserved is held by open requests at their most.
@@ -83,12 +88,19 @@
 	// on version unresolvedAt.
 	unresolved   bool
 	unresolvedAt uint64
-	rate         float64
-	rateAt       time.Time
-	triedAt      time.Time
+	// rate is the estimated spending in tokens a second, as of rateAt. An account
+	// is warm once its rate was observed.
+	rate   float64
+	rateAt time.Time
+	warm   bool
+	// largest is the largest request seen lately, as of largestAt.
+	largest   int64
+	largestAt time.Time
+	triedAt   time.Time
 }
 
-func (a *account) available() int64 { return a.amount - a.spent - a.reserved }
+// unspent is what is left of the grant.
+func (a *account) unspent() int64 { return a.amount - a.spent - a.reserved }
 
 func (a *account) ungranted() int64 { return max(a.budget-a.row.granted(), 0) }
 
@@ -98,6 +110,24 @@
 	incarnation int64
 	policy      Policy
 	accounts    map[string]*account
+
+	// opened is set once the last process's statement is known.
+	opened bool
+	// closed is what earlier processes of the VM may have spent.
+	closed map[int64]map[string]int64
+	// confirmed is the statement in force, pending those that may be written.
+	confirmed *issued
+	pending   []*issued
+	sequence  int64
+	// doubtful is set when the row has to be read again.
+	doubtful bool
+	// version is the version of the statement's row.
+	version uint64
+}
+
+// available is what may be spent now: within the grant and the statement.
+func (b *Book) available(now time.Time, workspace string, a *account) int64 {
+	return min(a.amount, b.allowed(now, workspace)) - a.spent - a.reserved
 }
 
 // NewBook returns the empty book of a process. The incarnation is unique among
@@ -126,7 +156,7 @@
 	if a == nil {
 		return Exhausted
 	}
-	if a.available() >= tokens {
+	if b.available(now, workspace, a) >= tokens {
 		a.reserved += tokens
 		a.observe(now, tokens)
 		return Reserved
@@ -152,6 +182,10 @@
 func (a *account) observe(now time.Time, tokens int64) {
 	a.decay(now)
 	a.rate += float64(tokens) / rateWindow.Seconds()
+	a.warm = a.warm || now.Sub(a.knownAt) >= rateWindow
+	if float64(tokens) >= a.largestNow(now) {
+		a.largest, a.largestAt = tokens, now
+	}
 }
 
 func (a *account) decay(now time.Time) {
@@ -196,6 +230,9 @@
 // Needs returns the workspaces whose account is to be read and written now.
 func (b *Book) Needs(now time.Time) []string {
 	var out []string
+	if !b.opened {
+		return nil
+	}
 	for workspace, a := range b.accounts {
 		if b.needs(now, a) {
 			out = append(out, workspace)
@@ -206,14 +243,14 @@
 }
 
 func (b *Book) needs(now time.Time, a *account) bool {
-	if !a.known || a.unresolved || a.wanted > a.available() {
+	if !a.known || a.unresolved || a.wanted > a.unspent() {
 		return true
 	}
 	target := b.target(now, a)
 	if b.scarce(a) {
-		return now.Sub(a.triedAt) >= scarceInterval && (a.rate > 1 || a.available() > 0)
+		return now.Sub(a.triedAt) >= scarceInterval && (a.rate > 1 || a.unspent() > 0)
 	}
-	low := float64(a.available()) < b.policy.RefillShare*float64(target)
+	low := float64(a.unspent()) < b.policy.RefillShare*float64(target)
 	return low && a.ungranted() > 0
 }
 
@@ -237,7 +274,7 @@
 	b.take(now, a, row, version)
 	a.triedAt = now
 	next := row.clone()
-	own := b.own(&next)
+	own := b.own(workspace, &next)
 	ungranted := max(a.budget-next.granted(), 0)
 	amount := a.amount + b.change(now, a, ungranted)
 	wanted := a.wanted
@@ -252,21 +289,28 @@
 	return &Write{Workspace: workspace, Row: next, Version: version, amount: amount}
 }
 
-// own returns the process's grant in the row; a predecessor's is retired first,
-// all of it, since nobody knows what was spent since its last write.
-func (b *Book) own(row *Row) Grant {
+// own returns the process's grant in the row. A predecessor's is retired first:
+// what its last statement allowed, or all of it if that is not known.
+func (b *Book) own(workspace string, row *Row) Grant {
 	g, ok := row.Grants[b.vm]
-	if ok && g.Incarnation != b.incarnation {
-		row.Retired += g.Amount
-		delete(row.Grants, b.vm)
-		g = Grant{}
+	if !ok || g.Incarnation == b.incarnation {
+		return g
+	}
+	spent := g.Amount
+	if closed, known := b.closed[g.Incarnation]; known {
+		spent = min(g.Amount, closed[workspace])
 	}
-	return g
+	row.Retired += spent
+	delete(row.Grants, b.vm)
+	return Grant{}
 }
 
 // take adopts a row that was read. A write whose outcome is unknown is resolved
 // once the row has moved past the version it required.
 func (b *Book) take(now time.Time, a *account, row Row, version uint64) {
+	if !a.known {
+		a.knownAt = now
+	}
 	a.row, a.version, a.readAt, a.known = row, version, now, true
 	if a.unresolved && version == a.unresolvedAt {
 		return
@@ -281,7 +325,7 @@
 // change is the tokens to add to the grant, or to hand back when below 0.
 func (b *Book) change(now time.Time, a *account, ungranted int64) int64 {
 	target := b.target(now, a)
-	available := a.available()
+	available := a.unspent()
 	if available < target {
 		most := max(int64(b.policy.Taper*float64(ungranted)), min(a.wanted, ungranted))
 		return min(target-available, most)
@@ -298,6 +342,7 @@
 	a.row, a.version, a.readAt, a.known = w.Row, version, now, true
 	a.amount = w.amount
 	a.unresolved = false
+	b.retired(w.Workspace)
 }
 
 // Failed takes in that a write failed. Unless it provably did not and will not
@@ -320,7 +365,7 @@
 	}
 	b.take(now, a, row, version)
 	next := row.clone()
-	own := b.own(&next)
+	own := b.own(workspace, &next)
 	if own.Amount == 0 {
 		return nil
 	}
@@ -374,10 +419,45 @@
 }
 
 // Describe returns what a log line tells of one account.
-func (b *Book) Describe(now time.Time, workspace string) (available, ungranted int64, age time.Duration) {
+func (b *Book) Describe(now time.Time, workspace string) Description {
 	a := b.accounts[workspace]
 	if a == nil {
-		return 0, 0, 0
+		return Description{}
+	}
+	return Description{
+		Available: b.available(now, workspace, a), Unspent: a.unspent(), Ungranted: a.ungranted(),
+		Age: now.Sub(a.readAt), StatementAge: b.statementAge(now),
+	}
+}
+
+// Description is what a log line tells of one account.
+type Description struct {
+	// Available is what may be spent now, Unspent what is left of the grant and
+	// Ungranted what is left of the budget, as of Age ago.
+	Available, Unspent, Ungranted int64
+	Age                           time.Duration
+	// StatementAge is the age of the statement that bounds the spending.
+	StatementAge time.Duration
+}
+
+func (b *Book) statementAge(now time.Time) time.Duration {
+	if b.confirmed == nil {
+		return 0
+	}
+	return now.Sub(b.confirmed.made)
+}
+
+// RefillIn is how long it takes until the statement in force allows tokens more
+// for a workspace, 0 if it never does.
+func (b *Book) RefillIn(now time.Time, workspace string, tokens int64) time.Duration {
+	a := b.accounts[workspace]
+	if a == nil || b.confirmed == nil || a.unspent() < tokens {
+		return 0
+	}
+	rate := b.confirmed.statement.Entries[workspace].Rate
+	missing := tokens - b.available(now, workspace, a)
+	if rate <= 0 || missing <= 0 {
+		return 0
 	}
-	return a.available(), a.ungranted(), now.Sub(a.readAt)
+	return time.Duration(float64(missing) / float64(rate) * float64(time.Second))
 }
--- /dev/null
+++ b/prepaid/machine_test.go
@@ -0,0 +1,481 @@
+package prepaid_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"jackdawswitch/prepaid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "1500")
+	_ = flag.Set("rapid.steps", "150")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+const workspace = "w"
+
+// cell is one row of the fake table with the writes that may still land.
+type cell struct {
+	version uint64
+	row     prepaid.Row
+	stated  prepaid.Statement
+	late    []lateWrite
+}
+
+type lateWrite struct {
+	version uint64
+	row     prepaid.Row
+	stated  prepaid.Statement
+}
+
+func (c *cell) commit(next *uint64, w lateWrite) bool {
+	if c.version != w.version {
+		return false
+	}
+	*next++
+	c.version, c.row, c.stated = *next, w.row, w.stated
+	return true
+}
+
+// process is one router with the requests it has open.
+type process struct {
+	book *prepaid.Book
+	open []int64
+	// paused is the part of time that its steady clock did not count.
+	paused time.Duration
+}
+
+// world runs routers against a table that loses answers and lands writes late.
+// Its oracle is what was really spent.
+type world struct {
+	now       time.Time
+	version   uint64
+	account   cell
+	holders   map[string]*cell
+	processes map[string]*process
+	budget    int64
+	// spent is final, open requests may spend all that they reserved.
+	spent int64
+	count int64
+}
+
+var vms = []string{"a", "b", "c"}
+
+func newWorld(budget int64) *world {
+	w := &world{now: time.Unix(1_000_000, 0), budget: budget, holders: make(map[string]*cell), processes: make(map[string]*process)}
+	for _, vm := range vms {
+		w.holders[vm] = &cell{}
+		w.start(vm)
+	}
+	return w
+}
+
+func (w *world) start(vm string) {
+	w.count++
+	p := &process{book: prepaid.NewBook(vm, w.count, prepaid.DefaultPolicy())}
+	p.book.SetBudgets(map[string]int64{workspace: w.budget})
+	w.processes[vm] = p
+}
+
+func (w *world) clock(p *process) time.Time { return w.now.Add(-p.paused) }
+
+func (w *world) tableNow() int64 { return w.now.UnixMilli() }
+
+// answers of the table.
+const (
+	answered = iota
+	lostDone
+	lostLate
+	lostNever
+	refused
+)
+
+func drawAnswer(t *rapid.T) int {
+	return rapid.SampledFrom([]int{answered, answered, answered, lostDone, lostLate, lostNever, refused}).Draw(t, "answer")
+}
+
+// write brings a write to the cell and reports whether it is done and whether
+// that is known.
+func (w *world) write(t *rapid.T, c *cell, lw lateWrite) (done, known bool) {
+	switch drawAnswer(t) {
+	case answered:
+		return c.commit(&w.version, lw), true
+	case lostDone:
+		c.commit(&w.version, lw)
+	case lostLate:
+		c.late = append(c.late, lw)
+	case refused:
+		return false, true
+	}
+	return false, false
+}
+
+func (w *world) state(t *rapid.T, vm string) {
+	p, c := w.processes[vm], w.holders[vm]
+	switch {
+	case !p.book.Opened():
+		p.book.Open(c.stated, c.version, w.tableNow())
+	case p.book.Unresolved():
+		p.book.Reread(c.stated, c.version)
+	}
+	statement, version := p.book.State(w.clock(p), w.tableNow())
+	done, known := w.write(t, c, lateWrite{version: version, stated: statement})
+	switch {
+	case done:
+		p.book.Stated(statement.Sequence, c.version)
+	case known && c.version != version:
+		p.book.NotStated(statement.Sequence)
+		p.book.Doubt()
+	case known:
+		p.book.NotStated(statement.Sequence)
+	}
+}
+
+func (w *world) refill(t *rapid.T, vm string, leave bool) {
+	p, c := w.processes[vm], &w.account
+	if !p.book.Opened() {
+		return
+	}
+	row, version := c.row, c.version
+	var write *prepaid.Write
+	if leave {
+		write = p.book.PlanLeave(w.clock(p), workspace, row, version)
+	} else {
+		write = p.book.Plan(w.clock(p), workspace, row, version)
+	}
+	if write == nil {
+		return
+	}
+	if rapid.IntRange(0, 3).Draw(t, "race") == 0 {
+		// Another router writes between the read and the write.
+		w.refill(t, vms[rapid.IntRange(0, len(vms)-1).Draw(t, "racer")], false)
+	}
+	done, known := w.write(t, c, lateWrite{version: write.Version, row: write.Row})
+	if done {
+		p.book.Done(w.clock(p), write, c.version)
+		return
+	}
+	p.book.Failed(write, known)
+}
+
+func (w *world) reserve(t *rapid.T, vm string) {
+	p := w.processes[vm]
+	tokens := rapid.Int64Range(1, 400).Draw(t, "tokens")
+	if p.book.Reserve(w.clock(p), workspace, tokens) == prepaid.Reserved {
+		p.open = append(p.open, tokens)
+	}
+}
+
+// exhaust spends all that a process may, as a hot workspace does.
+func (w *world) exhaust(t *rapid.T, vm string) {
+	p := w.processes[vm]
+	tokens := rapid.Int64Range(1, 200).Draw(t, "tokens")
+	finish := rapid.Bool().Draw(t, "finish")
+	for p.book.Reserve(w.clock(p), workspace, tokens) == prepaid.Reserved {
+		if !finish {
+			p.open = append(p.open, tokens)
+			continue
+		}
+		p.book.Settle(workspace, tokens, tokens)
+		w.spent += tokens
+	}
+}
+
+// maintain is a round of statement and refill.
+func (w *world) maintain(t *rapid.T, vm string) {
+	w.state(t, vm)
+	w.refill(t, vm, false)
+	w.state(t, vm)
+}
+
+func (w *world) settle(t *rapid.T, vm string) {
+	p := w.processes[vm]
+	if len(p.open) == 0 {
+		return
+	}
+	tokens := p.open[0]
+	p.open = p.open[1:]
+	used := rapid.Int64Range(0, tokens).Draw(t, "used")
+	p.book.Settle(workspace, tokens, used)
+	w.spent += used
+}
+
+// kill ends a process; what was open ran to its end.
+func (w *world) kill(vm string) {
+	for _, tokens := range w.processes[vm].open {
+		w.spent += tokens
+	}
+	w.start(vm)
+}
+
+func (w *world) land(t *rapid.T) {
+	c := &w.account
+	if rapid.Bool().Draw(t, "statement") {
+		c = w.holders[rapid.SampledFrom(vms).Draw(t, "vm")]
+	}
+	if len(c.late) == 0 {
+		return
+	}
+	lw := c.late[0]
+	c.late = c.late[1:]
+	c.commit(&w.version, lw)
+}
+
+func (w *world) check(t *rapid.T) {
+	total := w.spent
+	for _, p := range w.processes {
+		for _, tokens := range p.open {
+			total += tokens
+		}
+	}
+	if total > w.budget {
+		t.Fatalf("%d of %d tokens are spent", total, w.budget)
+	}
+}
+
+func TestProofSpendNeverExceedsTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Int64Range(500, 20_000).Draw(t, "budget"))
+		on := func(do func(*rapid.T, string)) func(*rapid.T) {
+			return func(t *rapid.T) { do(t, rapid.SampledFrom(vms).Draw(t, "vm")) }
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"state":   on(w.state),
+			"state2":  on(w.state),
+			"refill":  on(func(t *rapid.T, vm string) { w.refill(t, vm, false) }),
+			"refill2": on(func(t *rapid.T, vm string) { w.refill(t, vm, false) }),
+			"reserve": on(w.reserve), "reserve2": on(w.reserve),
+			"exhaust": on(w.exhaust), "exhaust2": on(w.exhaust), "exhaust3": on(w.exhaust),
+			"maintain": on(w.maintain), "maintain2": on(w.maintain), "maintain3": on(w.maintain),
+			"settle": on(w.settle),
+			"kill":   on(func(_ *rapid.T, vm string) { w.kill(vm) }),
+			"leave": on(func(t *rapid.T, vm string) {
+				p := w.processes[vm]
+				for len(p.open) > 0 {
+					w.settle(t, vm)
+				}
+				w.refill(t, vm, true)
+				w.start(vm)
+			}),
+			"pause": on(func(t *rapid.T, vm string) {
+				d := time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms")) * time.Millisecond
+				w.now = w.now.Add(d)
+				w.processes[vm].paused += d
+			}),
+			"land":  w.land,
+			"raise": func(t *rapid.T) { w.raise(rapid.Int64Range(0, 1000).Draw(t, "more")) },
+			"wait": func(t *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": w.check,
+		})
+	})
+}
+
+// raise raises the budget, of which some routers hear at once.
+func (w *world) raise(more int64) {
+	w.budget += more
+	w.processes["a"].book.SetBudgets(map[string]int64{workspace: w.budget})
+}
+
+// serve lets every process spend at a rate for a time, with a table that works,
+// and returns the tokens refused.
+func (w *world) serve(rate int64, seconds float64, cut bool) (refusedTokens int64) {
+	const step = 50 * time.Millisecond
+	const request = 1000
+	for range int(seconds / step.Seconds()) {
+		w.now = w.now.Add(step)
+		for _, vm := range vms {
+			p := w.processes[vm]
+			w.count++
+			if w.count%int64(request/(float64(rate)*step.Seconds())) == 0 {
+				if p.book.Reserve(w.now, workspace, request) == prepaid.Reserved {
+					p.book.Settle(workspace, request, request)
+					w.spent += request
+				} else {
+					refusedTokens += request
+				}
+			}
+			if cut {
+				continue
+			}
+			w.keep(vm)
+		}
+	}
+	return refusedTokens
+}
+
+// settleIn lets the processes open their grants before the traffic, as they start
+// some seconds ahead of it.
+func (w *world) settleIn() {
+	for range 3 {
+		for _, vm := range vms {
+			w.keep(vm)
+		}
+	}
+}
+
+func (w *world) keep(vm string) {
+	p, c := w.processes[vm], w.holders[vm]
+	if !p.book.Opened() {
+		p.book.Open(c.stated, c.version, w.tableNow())
+	}
+	if p.book.StatementDue(w.now) {
+		s, version := p.book.State(w.now, w.tableNow())
+		c.commit(&w.version, lateWrite{version: version, stated: s})
+		p.book.Stated(s.Sequence, c.version)
+	}
+	if len(p.book.Needs(w.now)) > 0 {
+		if write := p.book.Plan(w.now, workspace, w.account.row, w.account.version); write != nil {
+			w.account.commit(&w.version, lateWrite{version: write.Version, row: write.Row})
+			p.book.Done(w.now, write, w.account.version)
+		}
+	}
+}
+
+// TestAPartitionOfEightSecondsIsServed plays the load of the sheets: a budget of
+// 44 s of spending over all routers, every router cut off from the table for 8 s.
+func TestAPartitionOfEightSecondsIsServed(t *testing.T) {
+	const rate = 10_000
+	w := newWorld(44 * rate * int64(len(vms)))
+	w.settleIn()
+	if r := w.serve(rate, 10, false); r > 0 {
+		t.Fatalf("%d tokens were refused before the partition", r)
+	}
+	if r := w.serve(rate, 8, true); r > 0 {
+		t.Fatalf("%d tokens were refused in the partition", r)
+	}
+}
+
+// TestAKilledFleetLosesLittleOfTheBudget kills all processes at once. What they
+// may have spent without a statement is lost: a statement is at most 1 s old,
+// and a successor starts 1 s after; at the allowed rate with its burst, that is
+// under 6 s of spending.
+func TestAKilledFleetLosesLittleOfTheBudget(t *testing.T) {
+	const rate = 10_000
+	w := newWorld(44 * rate * int64(len(vms)))
+	w.settleIn()
+	w.serve(rate, 10, false)
+	for _, vm := range vms {
+		w.kill(vm)
+	}
+	w.now = w.now.Add(time.Second)
+	w.settleIn()
+	lost := w.account.row.Retired - w.spent
+	if most := int64(6 * rate * len(vms)); lost < 0 || lost > most {
+		t.Fatalf("%d tokens were lost, more than %d", lost, most)
+	}
+	if r := w.serve(rate, 8, false); r > 0 {
+		t.Fatalf("%d tokens were refused after the restart", r)
+	}
+}
+
+func TestAnImpossibleRowIsRefused(t *testing.T) {
+	for _, text := range []string{``, `{`, `[]`, `{"retired":-1}`, `{"grants":{"a":{"amount":1,"spent":2}}}`} {
+		if _, err := prepaid.DecodeRow("w", []byte(text)); err == nil {
+			t.Errorf("%q was taken", text)
+		}
+	}
+	if _, err := prepaid.DecodeStatement("a", []byte(`{"entries":{"w":{"base":-1}}}`)); err == nil {
+		t.Error("a negative base was taken")
+	}
+}
+
+// scarce returns a world whose processes hold most of the budget and no longer need
+// it, so that the next plan hands some back.
+func scarce() (*world, *process) {
+	w := newWorld(100_000)
+	w.settleIn()
+	p := w.processes["a"]
+	for range 40 {
+		for _, vm := range vms {
+			if book := w.processes[vm].book; book.Reserve(w.now, workspace, 4_000) == prepaid.Reserved {
+				book.Settle(workspace, 4_000, 0)
+			}
+			w.keep(vm)
+		}
+		w.now = w.now.Add(100 * time.Millisecond)
+	}
+	w.now = w.now.Add(time.Minute)
+	return w, p
+}
+
+// spendAll spends what a process may, in requests of one size.
+func (w *world) spendAll(p *process, tokens int64) (spent int64) {
+	for p.book.Reserve(w.now, workspace, tokens) == prepaid.Reserved {
+		p.book.Settle(workspace, tokens, tokens)
+		spent += tokens
+	}
+	return spent
+}
+
+func TestWhatIsHandedBackIsNotSpentWhileTheWriteIsUnknown(t *testing.T) {
+	w, p := scarce()
+	write := p.book.Plan(w.now, workspace, w.account.row, w.account.version)
+	before := w.account.row.Grants["a"].Amount
+	if write == nil || write.Row.Grants["a"].Amount >= before {
+		t.Fatalf("nothing is handed back of %d: %+v", before, write)
+	}
+	p.book.Failed(write, false)
+	// The row still shows the old amount, and the write may land later. A demand
+	// that the old amount would cover must not bring it back.
+	if verdict := p.book.Reserve(w.now, workspace, before-10); verdict != prepaid.Short {
+		t.Fatalf("verdict %d", verdict)
+	}
+	again := p.book.Plan(w.now, workspace, w.account.row, w.account.version)
+	if again != nil {
+		p.book.Failed(again, true)
+	}
+	s, version := p.book.State(w.now, w.tableNow())
+	w.holders["a"].commit(&w.version, lateWrite{version: version, stated: s})
+	p.book.Stated(s.Sequence, w.holders["a"].version)
+	w.now = w.now.Add(time.Hour)
+	if spent := w.spendAll(p, 100); spent > write.Row.Grants["a"].Amount {
+		t.Fatalf("%d were spent though only %d may be left", spent, write.Row.Grants["a"].Amount)
+	}
+}
+
+func TestOfTwoStatementsThatMayHoldTheLesserBinds(t *testing.T) {
+	w := newWorld(1_000_000)
+	w.settleIn()
+	p := w.processes["a"]
+	// A large request makes for a large burst, which a quiet minute ends.
+	if p.book.Reserve(w.now, workspace, 4_000) == prepaid.Reserved {
+		p.book.Settle(workspace, 4_000, 4_000)
+	}
+	w.now = w.now.Add(time.Second)
+	w.keep("a")
+	w.now = w.now.Add(time.Minute)
+	s, version := p.book.State(w.now, w.tableNow())
+	w.holders["a"].commit(&w.version, lateWrite{version: version, stated: s})
+	spent := 4_000 + w.spendAll(p, 100)
+	entry := s.Entries[workspace]
+	if spent > entry.Base+entry.Burst {
+		t.Fatalf("%d were spent, but a successor would retire %d", spent, entry.Base+entry.Burst)
+	}
+}
+
+func TestALeavingProcessAccountsForWhatItSpent(t *testing.T) {
+	w := newWorld(100_000)
+	w.settleIn()
+	p := w.processes["a"]
+	spent := w.spendAll(p, 100)
+	if spent == 0 {
+		t.Fatal("nothing was spent")
+	}
+	write := p.book.PlanLeave(w.now, workspace, w.account.row, w.account.version)
+	if write == nil || write.Row.Retired != spent {
+		t.Fatalf("%d were spent: %+v", spent, write)
+	}
+	if _, held := write.Row.Grants["a"]; held {
+		t.Fatal("the grant is still held")
+	}
+}
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -34,10 +34,16 @@
 // workspace, so that accounts are written independently of each other.
 func Key(workspace string) string { return keyPrefix + workspace + keySuffix }
 
+// StatementKey returns the key of the statement of a VM's process.
+func StatementKey(vm string) string { return "holders/" + vm + "/statement" }
+
 // Table is what the service needs of storage.Table.
 type Table interface {
 	Commit(ctx context.Context, txn storage.Transaction) (storage.Commit, error)
 	Get(ctx context.Context, keys ...string) ([]storage.Row, error)
+	// Now is the table's steady clock in milliseconds, or somewhat less: what it
+	// told last and the time since. It is false before any call was answered.
+	Now() (ms int64, ok bool)
 }
 
 // Options configure a Service.
@@ -62,6 +68,11 @@
 	writes  int64
 	kick    chan struct{}
 	tasks   sync.WaitGroup
+	// stating is set while a statement is read or written; away is set from a
+	// failure of that until it works again.
+	stating bool
+	away    bool
+	state   pause
 }
 
 // pause holds back the calls for an account after a failure.
@@ -98,15 +109,15 @@
 }
 
 // Reserve holds tokens for a request. When the grant doesn't cover it, it waits
-// for a refill for at most wait.
+// for a refill for at most wait, and not at all while the table is away.
 func (s *Service) Reserve(ctx context.Context, workspace string, tokens int64, wait time.Duration) Verdict {
 	var timeout <-chan time.Time
 	for {
 		s.mu.Lock()
 		verdict := s.book.Reserve(time.Now(), workspace, tokens)
-		changed := s.changed
+		changed, away := s.changed, s.away
 		s.mu.Unlock()
-		if verdict != Short {
+		if verdict != Short || away {
 			return verdict
 		}
 		s.wake()
@@ -132,8 +143,16 @@
 	s.book.Settle(workspace, reserved, used)
 }
 
+// RefillIn is how long it takes until a workspace may spend tokens more without
+// a word from the table, 0 if that is not foreseen.
+func (s *Service) RefillIn(workspace string, tokens int64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.RefillIn(time.Now(), workspace, tokens)
+}
+
 // Describe returns what a log line tells of one account.
-func (s *Service) Describe(workspace string) (available, ungranted int64, age time.Duration) {
+func (s *Service) Describe(workspace string) Description {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.book.Describe(time.Now(), workspace)
@@ -167,6 +186,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	due := !s.book.Opened() || s.book.StatementDue(now)
+	if due && !s.stating && !now.Before(s.state.until) {
+		s.stating = true
+		s.tasks.Go(func() { s.finishState(s.makeStatement(ctx)) })
+	}
 	for _, workspace := range s.book.Needs(now) {
 		if len(s.busy) >= maxConcurrent {
 			return
@@ -182,6 +206,110 @@
 	}
 }
 
+// makeStatement reads the last process's statement at first, and writes the own
+// one after that.
+func (s *Service) makeStatement(ctx context.Context) error {
+	s.mu.Lock()
+	read := !s.book.Opened() || s.book.Unresolved()
+	s.mu.Unlock()
+	if read {
+		if err := s.readStatement(ctx); err != nil {
+			return err
+		}
+	}
+	tableNow, ok := s.opts.Table.Now()
+	if !ok {
+		return nil
+	}
+	s.mu.Lock()
+	statement, version := s.book.State(time.Now(), tableNow)
+	s.mu.Unlock()
+	value, err := statement.Encode()
+	if err != nil {
+		return err
+	}
+	key := StatementKey(s.opts.VM)
+	done, err := s.opts.Table.Commit(ctx, storage.Transaction{
+		ID:         s.writeID("s", statement.Sequence),
+		Conditions: []storage.Condition{{Key: key, Version: version}},
+		Puts:       []storage.Put{{Key: key, Value: value}},
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.book.Stated(statement.Sequence, done.Version)
+	case storage.IsKind(err, storage.KindConflict):
+		// An earlier one was written after all: the row tells which.
+		s.book.NotStated(statement.Sequence)
+		s.book.Doubt()
+	case storage.OutcomeOf(err) == storage.OutcomeNotDone:
+		s.book.NotStated(statement.Sequence)
+	}
+	return err
+}
+
+func (s *Service) readStatement(ctx context.Context) error {
+	rows, err := s.opts.Table.Get(ctx, StatementKey(s.opts.VM))
+	if err != nil {
+		return err
+	}
+	var last Statement
+	var version uint64
+	if len(rows) > 0 {
+		version = rows[0].Version
+		if last, err = DecodeStatement(s.opts.VM, rows[0].Value); err != nil {
+			// What the last process may have spent is then not known, and all
+			// of its grants are retired.
+			s.opts.Logger.Error("statement of the last process left out", "error", err.Error())
+			last = Statement{}
+		}
+	}
+	tableNow, _ := s.opts.Table.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Opened() {
+		s.book.Reread(last, version)
+		return nil
+	}
+	s.book.Open(last, version, tableNow)
+	s.opts.Logger.Info("last statement read", "incarnation", last.Incarnation, "entries", len(last.Entries),
+		"age_ms", tableNow-last.At, "row_version", version)
+	return nil
+}
+
+// finishState notes how making a statement ended.
+func (s *Service) finishState(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stating = false
+	if err == nil {
+		if s.away {
+			s.opts.Logger.Info("dependency regained", "dependency", "statements")
+		}
+		s.away, s.state = false, pause{}
+		s.notify()
+		return
+	}
+	s.state.length = min(max(2*s.state.length, retryPause), maxRetryPause)
+	s.state.until = time.Now().Add(s.state.length/2 + rand.N(s.state.length))
+	if !s.away && !storage.IsKind(err, storage.KindConflict) {
+		s.opts.Logger.Warn("dependency lost", "dependency", "statements", "error", err.Error())
+		s.away = true
+		s.notify()
+	}
+}
+
+// notify wakes those who wait for credit.
+func (s *Service) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Service) writeID(kind string, n int64) string {
+	return s.opts.VM + "-" + strconv.FormatInt(s.opts.Incarnation, 10) + "-" + kind + strconv.FormatInt(n, 10)
+}
+
 // refill reads an account and writes what the book plans.
 func (s *Service) refill(ctx context.Context, workspace string) error {
 	row, version, err := s.read(ctx, workspace)
@@ -216,7 +344,7 @@
 	}
 	s.mu.Lock()
 	s.writes++
-	id := s.opts.VM + "-" + strconv.FormatInt(s.opts.Incarnation, 10) + "-" + strconv.FormatInt(s.writes, 10)
+	id := s.writeID("g", s.writes)
 	s.mu.Unlock()
 	key := Key(write.Workspace)
 	done, err := s.opts.Table.Commit(ctx, storage.Transaction{
@@ -242,8 +370,7 @@
 	delete(s.busy, workspace)
 	if err == nil {
 		delete(s.pauses, workspace)
-		close(s.changed)
-		s.changed = make(chan struct{})
+		s.notify()
 		return
 	}
 	p := s.pauses[workspace]
@@ -251,7 +378,12 @@
 	p.until = time.Now().Add(p.length/2 + rand.N(p.length))
 	s.pauses[workspace] = p
 	s.opts.Metrics.Counter("grants_failed").Inc(1)
-	s.opts.Logger.Warn("grant not refilled", "workspace", workspace, "retry_in", p.length.String(), "error", err.Error())
+	level := slog.LevelWarn
+	if storage.IsKind(err, storage.KindConflict) {
+		// Another router wrote the account first.
+		level = slog.LevelDebug
+	}
+	s.opts.Logger.Log(context.Background(), level, "grant not refilled", "workspace", workspace, "retry_in", p.length.String(), "error", err.Error())
 }
 
 // Leave hands back what is unspent, as far as ctx allows. No request may be
--- /dev/null
+++ b/prepaid/statement.go
@@ -0,0 +1,274 @@
+package prepaid
+
+import (
+	"encoding/json"
+	"maps"
+	"math"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Statement is what a holder says of its own spending, in a row that only the
+// processes of its VM write. It bounds what the holder may spend until the next
+// one, so that a successor that finds it can tell how much of a grant is left.
+type Statement struct {
+	Incarnation int64 `json:"incarnation"`
+	// Sequence tells the statements of one incarnation apart.
+	Sequence int64 `json:"sequence"`
+	// At is the table's clock in milliseconds, not after the statement's making.
+	At int64 `json:"at"`
+	// Entries are the bounds by workspace. Without one nothing may be spent.
+	Entries map[string]Entry `json:"entries"`
+	// Closed is what earlier incarnations may have spent, by incarnation and
+	// workspace, for those whose grants are not retired yet.
+	Closed map[int64]map[string]int64 `json:"closed,omitempty"`
+}
+
+// Entry bounds the spending of one workspace: at most Base + Burst, and Rate for
+// each second since the statement.
+type Entry struct {
+	// Base is what was spent and reserved when the statement was made.
+	Base  int64 `json:"base"`
+	Burst int64 `json:"burst"`
+	// Rate is in tokens a second.
+	Rate int64 `json:"rate"`
+}
+
+// allowed is the spending that the entry allows at a time after its making.
+func (e Entry) allowed(elapsed time.Duration) int64 {
+	return e.Base + e.Burst + int64(float64(e.Rate)*max(elapsed, 0).Seconds())
+}
+
+// DecodeStatement decodes a holder's statement. Its error is a *RowError.
+func DecodeStatement(vm string, data []byte) (Statement, error) {
+	var s Statement
+	if err := json.Unmarshal(data, &s); err != nil {
+		return s, errors.WithStack(&RowError{Workspace: vm, Problem: "statement can't be read", Cause: err})
+	}
+	for workspace, e := range s.Entries {
+		if e.Base < 0 || e.Burst < 0 || e.Rate < 0 {
+			return s, errors.WithStack(&RowError{Workspace: workspace, Problem: "statement of " + vm + " is not possible"})
+		}
+	}
+	return s, nil
+}
+
+// Encode returns the statement's value.
+func (s *Statement) Encode() ([]byte, error) {
+	data, err := json.Marshal(s)
+	return data, errors.WithStack(err)
+}
+
+// close returns what the maker of the statement and its predecessors may have
+// spent by a time of the table's clock, at which the maker is dead.
+func (s *Statement) close(now int64) map[int64]map[string]int64 {
+	out := make(map[int64]map[string]int64)
+	if s.Incarnation == 0 {
+		return out
+	}
+	// One millisecond more covers the rounding of both times.
+	elapsed := time.Duration(max(now-s.At, 0)+1) * time.Millisecond
+	spent := make(map[string]int64, len(s.Entries))
+	for workspace, e := range s.Entries {
+		spent[workspace] = e.allowed(elapsed)
+	}
+	maps.Copy(out, s.Closed)
+	out[s.Incarnation] = spent
+	return out
+}
+
+// issued is a statement that was written, or may have been.
+type issued struct {
+	statement Statement
+	// made is when it was made, by the process's own clock.
+	made time.Time
+	// version is the version that the row had to have.
+	version uint64
+}
+
+func (i *issued) allowed(now time.Time, workspace string) int64 {
+	e, ok := i.statement.Entries[workspace]
+	if !ok {
+		return 0
+	}
+	return e.allowed(now.Sub(i.made))
+}
+
+const (
+	// rateHeadroom is the factor by which spending may exceed its recent rate
+	// before the next statement. More serves bursts in a partition, and loses as
+	// much when the process dies.
+	rateHeadroom = 1.25
+
+	// burstTime is the spending that one statement allows at once.
+	burstTime = time.Second
+
+	// statementInterval is the longest time between two statements while
+	// credit is spent: with one row a router, 360 routers write 360 rows a second.
+	statementInterval = time.Second
+
+	// burstLeft is the part of a burst under which the next statement is due.
+	burstLeft = 0.5
+
+	// coldRateShare is the share of a budget that may be spent each second while
+	// nothing is known of the workspace's rate: a day's budget in some minutes.
+	coldRateShare = 0.004
+
+	// largestDecay is the time in which the largest request seen loses most of
+	// its weight in the burst.
+	largestDecay = 10 * time.Second
+)
+
+// entry is what the process wants to be allowed for a workspace from now on.
+func (b *Book) entry(now time.Time, a *account) Entry {
+	a.decay(now)
+	rate := rateHeadroom * a.rate
+	if !a.warm {
+		rate = max(rate, coldRateShare*float64(a.budget))
+	}
+	burst := max(rate*burstTime.Seconds(), a.largestNow(now), float64(a.wanted))
+	return Entry{Base: a.spent + a.reserved, Burst: int64(math.Ceil(burst)), Rate: int64(math.Ceil(rate))}
+}
+
+// largestNow is the largest request seen lately, which a burst must allow.
+func (a *account) largestNow(now time.Time) float64 {
+	return float64(a.largest) * math.Exp(-float64(now.Sub(a.largestAt))/float64(largestDecay))
+}
+
+// allowed is the spending that the statements allow. Until a write's outcome is
+// known, both the new and the old one bind.
+func (b *Book) allowed(now time.Time, workspace string) int64 {
+	if b.confirmed == nil {
+		return 0
+	}
+	least := b.confirmed.allowed(now, workspace)
+	for _, p := range b.pending {
+		least = min(least, p.allowed(now, workspace))
+	}
+	return least
+}
+
+// StatementDue reports whether the next statement is to be written now.
+func (b *Book) StatementDue(now time.Time) bool {
+	if !b.opened {
+		return false
+	}
+	if b.confirmed == nil || len(b.pending) > 0 {
+		return true
+	}
+	quiet := now.Sub(b.confirmed.made) < statementInterval
+	for workspace, a := range b.accounts {
+		if a.amount == 0 {
+			continue
+		}
+		e := b.confirmed.statement.Entries[workspace]
+		used := a.spent + a.reserved
+		if !quiet && used != e.Base {
+			return true
+		}
+		left := b.allowed(now, workspace) - used
+		if a.unspent() >= a.wanted && left < max(a.wanted, int64(burstLeft*float64(e.Burst))) {
+			return true
+		}
+		if e == (Entry{}) {
+			return true
+		}
+	}
+	return false
+}
+
+// Open takes in the statement of the VM's last process, the zero one for none,
+// as it was read at a time of the table's clock. Nothing is granted before.
+func (b *Book) Open(last Statement, version uint64, tableNow int64) {
+	if last.Incarnation == b.incarnation {
+		return
+	}
+	b.opened = true
+	b.closed = last.close(tableNow)
+	b.version = version
+}
+
+// Unresolved reports whether the row has to be read before the next statement.
+func (b *Book) Unresolved() bool { return len(b.pending) > 0 || b.doubtful }
+
+// Doubt notes that the row is not at the version that was expected.
+func (b *Book) Doubt() { b.doubtful = true }
+
+// Opened reports whether Open was called.
+func (b *Book) Opened() bool { return b.opened }
+
+// State makes the next statement, at a time of the table's clock.
+func (b *Book) State(now time.Time, tableNow int64) (s Statement, version uint64) {
+	b.sequence++
+	s = Statement{
+		Incarnation: b.incarnation, Sequence: b.sequence, At: tableNow,
+		Entries: make(map[string]Entry), Closed: cloneClosed(b.closed),
+	}
+	for workspace, a := range b.accounts {
+		if a.amount > 0 || a.reserved > 0 {
+			s.Entries[workspace] = b.entry(now, a)
+		}
+	}
+	b.pending = append(b.pending, &issued{statement: s, made: now, version: b.version})
+	return s, b.version
+}
+
+// cloneClosed copies what is encoded while the book goes on.
+func cloneClosed(closed map[int64]map[string]int64) map[int64]map[string]int64 {
+	out := make(map[int64]map[string]int64, len(closed))
+	for incarnation, spent := range closed {
+		out[incarnation] = maps.Clone(spent)
+	}
+	return out
+}
+
+// maxClosed bounds the earlier incarnations that a statement still lists. A
+// grant of one that is no longer listed is retired whole.
+const maxClosed = 8
+
+// retired notes that no grant of an earlier incarnation is left in an account.
+func (b *Book) retired(workspace string) {
+	for incarnation, spent := range b.closed {
+		delete(spent, workspace)
+		if len(spent) == 0 && len(b.closed) > maxClosed {
+			delete(b.closed, incarnation)
+		}
+	}
+}
+
+// Stated takes in that a statement was written. Earlier ones can't be any more.
+func (b *Book) Stated(sequence int64, version uint64) {
+	for _, p := range b.pending {
+		if p.statement.Sequence == sequence {
+			b.confirmed = p
+		}
+	}
+	b.pending = nil
+	b.version = version
+}
+
+// NotStated takes in that a statement was not written and never will be.
+func (b *Book) NotStated(sequence int64) {
+	kept := b.pending[:0]
+	for _, p := range b.pending {
+		if p.statement.Sequence != sequence {
+			kept = append(kept, p)
+		}
+	}
+	b.pending = kept
+}
+
+// Reread resolves statements whose outcome is unknown by the row as it is now.
+func (b *Book) Reread(row Statement, version uint64) {
+	b.doubtful = false
+	if version == b.version {
+		// Each of them may still be written.
+		return
+	}
+	if row.Incarnation == b.incarnation {
+		b.Stated(row.Sequence, version)
+		return
+	}
+	b.version = version
+}
