--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -286,9 +286,13 @@
 	w.processes["a"].book.SetBudgets(map[string]int64{workspace: w.budget})
 }
 
-// serve lets every process spend at a rate for a time, with a table that works,
+// rate is the spending of each process in the tests that play a load, in tokens
+// a second.
+const rate = 10_000
+
+// serve lets every process spend at the rate for a time, with a table that works,
 // and returns the tokens refused.
-func (w *world) serve(rate int64, seconds float64, cut bool) (refusedTokens int64) {
+func (w *world) serve(seconds float64, cut bool) (refusedTokens int64) {
 	const step = 50 * time.Millisecond
 	const request = 1000
 	for range int(seconds / step.Seconds()) {
@@ -344,13 +348,12 @@
 // TestAPartitionOfEightSecondsIsServed plays the load of the sheets: a budget of
 // 44 s of spending over all routers, every router cut off from the table for 8 s.
 func TestAPartitionOfEightSecondsIsServed(t *testing.T) {
-	const rate = 10_000
 	w := newWorld(44 * rate * int64(len(vms)))
 	w.settleIn()
-	if r := w.serve(rate, 10, false); r > 0 {
+	if r := w.serve(10, false); r > 0 {
 		t.Fatalf("%d tokens were refused before the partition", r)
 	}
-	if r := w.serve(rate, 8, true); r > 0 {
+	if r := w.serve(8, true); r > 0 {
 		t.Fatalf("%d tokens were refused in the partition", r)
 	}
 }
@@ -360,10 +363,9 @@
 // and a successor starts 1 s after; at the allowed rate with its burst, that is
 // under 6 s of spending.
 func TestAKilledFleetLosesLittleOfTheBudget(t *testing.T) {
-	const rate = 10_000
 	w := newWorld(44 * rate * int64(len(vms)))
 	w.settleIn()
-	w.serve(rate, 10, false)
+	w.serve(10, false)
 	for _, vm := range vms {
 		w.kill(vm)
 	}
@@ -373,7 +375,7 @@
 	if most := int64(6 * rate * len(vms)); lost < 0 || lost > most {
 		t.Fatalf("%d tokens were lost, more than %d", lost, most)
 	}
-	if r := w.serve(rate, 8, false); r > 0 {
+	if r := w.serve(8, false); r > 0 {
 		t.Fatalf("%d tokens were refused after the restart", r)
 	}
 }
