Give each router a part of a budget that follows its part of the spending

The log of grants showed one router that did all of a workspace's spending and ran out, while four others held the rest idle: their view of the account was up to 20 s old, so they never learned that it had become scarce, and an equal share capped the one that needed it. Change: target, cap and taper by the process's share of the spending; held accounts are read again; two means of the rate; statements each 0.3 s while few routers hold grants. The grant written is logged. TestIdleGrantsAreHandedBackToWhoSpends plays the load.

--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -13,6 +13,7 @@
 package prepaid
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -22,23 +23,28 @@
 type Policy struct {
 	// Horizon is the time of spending that a grant is to cover.
 	Horizon time.Duration
-	// FloorShare is the share of the budget that a grant covers at least.
-	FloorShare float64
-	// Taper is the largest share of the ungranted budget that one grant takes.
+	// SpreadShare is the share of the ungranted budget that the holders keep
+	// among them while there is plenty, whatever their rates.
+	SpreadShare float64
+	// Taper is the share of the ungranted budget that one grant takes at most, if
+	// the holder's part of the spending isn't larger.
 	Taper float64
 	// RefillShare is the share of its target below which a grant is refilled.
 	RefillShare float64
 }
 
-// DefaultPolicy covers a partition of 8 s, the longest that the deployments'
-// own days bring about, with what a refill takes.
+// DefaultPolicy covers partitions of 8 to 12 s, the longest that the
+// deployments' own days bring about.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 10 * time.Second, FloorShare: 0.02, Taper: 0.25, RefillShare: 0.75}
+	return Policy{Horizon: 12 * time.Second, SpreadShare: 0.4, Taper: 0.25, RefillShare: 0.75}
 }
 
 const (
-	// rateWindow is the time constant of the estimated spending rate.
-	rateWindow = 3 * time.Second
+	// The estimated spending rate is the higher one of two means: the short one
+	// follows a workspace that turns hot, the long one keeps a pause between
+	// large requests from passing for the end of the load.
+	shortWindow = 3 * time.Second
+	longWindow  = 10 * time.Second
 
 	// scarceShare is the ungranted share of a budget under which holders read
 	// the account more often and hand back what they don't need.
@@ -51,6 +57,16 @@
 	// the rest is handed back.
 	surplusFactor = 1.5
 
+	// The time between two reads of an account that a grant is held of, as others
+	// may have come to need it, grows with the number of such accounts: 360
+	// routers that read 4 a second keep within the table's 2,000 reads a second.
+	rereadPerAccount  = 250 * time.Millisecond
+	minRereadInterval = 2 * time.Second
+
+	// exhaustedInterval is the time between two reads of an account whose budget
+	// is wholly granted, while requests are refused for it.
+	exhaustedInterval = 300 * time.Millisecond
+
 	// freshFor is the age up to which a row may say that a budget is exhausted.
 	freshFor = 3 * time.Second
 )
@@ -88,11 +104,11 @@
 	// on version unresolvedAt.
 	unresolved   bool
 	unresolvedAt uint64
-	// rate is the estimated spending in tokens a second, as of rateAt. An account
-	// is warm once its rate was observed.
-	rate   float64
-	rateAt time.Time
-	warm   bool
+	// short and long are the means of the spending in tokens a second, as of
+	// rateAt. An account is warm once its rate was observed.
+	short, long float64
+	rateAt      time.Time
+	warm        bool
 	// largest is the largest request seen lately, as of largestAt.
 	largest   int64
 	largestAt time.Time
@@ -181,8 +197,9 @@
 // observe adds tokens to the estimated rate.
 func (a *account) observe(now time.Time, tokens int64) {
 	a.decay(now)
-	a.rate += float64(tokens) / rateWindow.Seconds()
-	a.warm = a.warm || now.Sub(a.knownAt) >= rateWindow
+	a.short += float64(tokens) / shortWindow.Seconds()
+	a.long += float64(tokens) / longWindow.Seconds()
+	a.warm = a.warm || now.Sub(a.knownAt) >= longWindow
 	if float64(tokens) >= a.largestNow(now) {
 		a.largest, a.largestAt = tokens, now
 	}
@@ -192,11 +209,18 @@
 	if a.rateAt.IsZero() {
 		a.rateAt = now
 	}
-	passed := now.Sub(a.rateAt).Seconds() / rateWindow.Seconds()
-	a.rate /= 1 + max(passed, 0)
+	passed := max(now.Sub(a.rateAt), 0).Seconds()
+	a.short *= math.Exp(-passed / shortWindow.Seconds())
+	a.long *= math.Exp(-passed / longWindow.Seconds())
 	a.rateAt = now
 }
 
+// rate is the estimated spending in tokens a second.
+func (a *account) rate(now time.Time) float64 {
+	a.decay(now)
+	return max(a.short, a.long)
+}
+
 // Settle ends a reservation with what was used, which is at most the
 // reservation.
 func (b *Book) Settle(workspace string, reserved, used int64) {
@@ -210,17 +234,33 @@
 
 // target is the unspent credit that the process wants to hold.
 func (b *Book) target(now time.Time, a *account) int64 {
-	a.decay(now)
-	want := int64(a.rate * b.policy.Horizon.Seconds())
-	if a.ungranted() > int64(scarceShare*float64(a.budget)) {
-		want = max(want, int64(b.policy.FloorShare*float64(a.budget)))
-	}
+	want := int64(a.rate(now) * b.policy.Horizon.Seconds())
 	if !a.known {
 		return max(want, a.wanted)
 	}
-	holders := int64(max(len(a.row.Grants), 1))
-	share := max(b.left(a)/holders, 0)
-	return max(min(want, share), a.wanted)
+	share := b.share(a)
+	if !b.scarce(a) {
+		want = max(want, int64(share*b.policy.SpreadShare*float64(a.ungranted())))
+	}
+	most := int64(share * float64(max(b.left(a), 0)))
+	return max(min(want, most), a.wanted)
+}
+
+// share is the process's part of the workspace's spending, as far as is known,
+// and at least half of an equal part. Most workspaces spend mainly at the
+// routers of one failure domain.
+func (b *Book) share(a *account) float64 {
+	equal := 1 / float64(max(len(a.row.Grants), 1))
+	own, others := a.spent+a.reserved, int64(0)
+	for vm, g := range a.row.Grants {
+		if vm != b.vm {
+			others += g.Spent
+		}
+	}
+	if own+others == 0 {
+		return equal
+	}
+	return max(float64(own)/float64(own+others), equal/2)
 }
 
 func (b *Book) scarce(a *account) bool {
@@ -242,13 +282,23 @@
 	return out
 }
 
+func (b *Book) rereadInterval() time.Duration {
+	return max(time.Duration(len(b.accounts))*rereadPerAccount, minRereadInterval)
+}
+
 func (b *Book) needs(now time.Time, a *account) bool {
-	if !a.known || a.unresolved || a.wanted > a.unspent() {
+	if !a.known || a.unresolved {
 		return true
 	}
+	if a.wanted > a.unspent() {
+		return a.ungranted() > 0 || now.Sub(a.triedAt) >= exhaustedInterval
+	}
 	target := b.target(now, a)
 	if b.scarce(a) {
-		return now.Sub(a.triedAt) >= scarceInterval && (a.rate > 1 || a.unspent() > 0)
+		return now.Sub(a.triedAt) >= scarceInterval && (a.rate(now) > 1 || a.unspent() > 0)
+	}
+	if a.unspent() > 0 && now.Sub(a.triedAt) >= b.rereadInterval() {
+		return true
 	}
 	low := float64(a.unspent()) < b.policy.RefillShare*float64(target)
 	return low && a.ungranted() > 0
@@ -327,7 +377,9 @@
 	target := b.target(now, a)
 	available := a.unspent()
 	if available < target {
-		most := max(int64(b.policy.Taper*float64(ungranted)), min(a.wanted, ungranted))
+		// A process that does most of the spending may take most of what is left.
+		taper := max(b.policy.Taper, b.share(a))
+		most := max(int64(taper*float64(ungranted)), min(a.wanted, ungranted))
 		return min(target-available, most)
 	}
 	if b.scarce(a) && float64(available) > surplusFactor*float64(target) {
@@ -406,7 +458,7 @@
 	for workspace, a := range b.accounts {
 		out = append(out, View{
 			Workspace: workspace, Budget: a.budget, Amount: a.amount, Spent: a.spent, Reserved: a.reserved,
-			Ungranted: a.ungranted(), Rate: a.rate, Version: a.version, Unresolved: a.unresolved,
+			Ungranted: a.ungranted(), Rate: max(a.short, a.long), Version: a.version, Unresolved: a.unresolved,
 		})
 	}
 	slices.SortFunc(out, func(x, y View) int {
@@ -426,7 +478,7 @@
 	}
 	return Description{
 		Available: b.available(now, workspace, a), Unspent: a.unspent(), Ungranted: a.ungranted(),
-		Age: now.Sub(a.readAt), StatementAge: b.statementAge(now),
+		Age: now.Sub(a.readAt), StatementAge: b.statementAge(now), Rate: a.rate(now),
 	}
 }
 
@@ -436,6 +488,8 @@
 	// Ungranted what is left of the budget, as of Age ago.
 	Available, Unspent, Ungranted int64
 	Age                           time.Duration
+	// Rate is the estimated spending in tokens a second.
+	Rate float64
 	// StatementAge is the age of the statement that bounds the spending.
 	StatementAge time.Duration
 }
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -481,3 +481,46 @@
 		t.Fatal("the grant is still held")
 	}
 }
+
+func TestAnExhaustedBudgetIsToldFromAShortGrant(t *testing.T) {
+	w := newWorld(10_000)
+	w.settleIn()
+	for _, vm := range []string{"a", "b", "c", "a", "b", "c", "a"} {
+		p := w.processes[vm]
+		for range 40 {
+			w.spendAll(p, 100)
+			w.keep(vm)
+			w.now = w.now.Add(400 * time.Millisecond)
+		}
+	}
+	w.settleIn()
+	if w.account.row.Retired != 0 {
+		t.Fatalf("retired %d", w.account.row.Retired)
+	}
+	p := w.processes["a"]
+	if verdict := p.book.Reserve(w.now, workspace, 9_000); verdict != prepaid.Exhausted {
+		t.Fatalf("verdict %d, %+v, row %+v", verdict, p.book.View(), w.account.row)
+	}
+}
+
+// TestIdleGrantsAreHandedBackToWhoSpends plays a workspace whose callers are all
+// in one failure domain: the other routers' parts must reach the one that spends.
+func TestIdleGrantsAreHandedBackToWhoSpends(t *testing.T) {
+	w := newWorld(300_000)
+	w.settleIn()
+	p := w.processes["a"]
+	const step = 100 * time.Millisecond
+	for range int(60 * time.Second / step) {
+		w.now = w.now.Add(step)
+		if p.book.Reserve(w.now, workspace, 1_000) == prepaid.Reserved {
+			p.book.Settle(workspace, 1_000, 1_000)
+			w.spent += 1_000
+		}
+		for _, vm := range vms {
+			w.keep(vm)
+		}
+	}
+	if w.spent < 97*w.budget/100 {
+		t.Fatalf("%d of %d were spent: %+v", w.spent, w.budget, w.account.row)
+	}
+}
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -359,7 +359,10 @@
 		return err
 	}
 	s.book.Done(time.Now(), write, done.Version)
-	s.opts.Logger.Debug("grant written", "workspace", write.Workspace, "amount", write.amount, "row_version", done.Version)
+	account := s.book.Describe(time.Now(), write.Workspace)
+	s.opts.Logger.Info("grant written", "workspace", write.Workspace, "row_version", done.Version,
+		"amount", write.amount, "unspent", account.Unspent, "ungranted", account.Ungranted,
+		"fleet_spent", write.Row.spent(), "tokens_per_s", int64(account.Rate))
 	return nil
 }
 
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -99,14 +99,17 @@
 	// rateHeadroom is the factor by which spending may exceed its recent rate
 	// before the next statement. More serves bursts in a partition, and loses as
 	// much when the process dies.
-	rateHeadroom = 1.25
+	rateHeadroom = 1.6
 
 	// burstTime is the spending that one statement allows at once.
 	burstTime = time.Second
 
-	// statementInterval is the longest time between two statements while
-	// credit is spent: with one row a router, 360 routers write 360 rows a second.
-	statementInterval = time.Second
+	// The time between two statements while credit is spent grows with the
+	// number of routers that hold grants, so that all of them together write some
+	// hundred rows a second at most.
+	intervalPerHolder    = 2500 * time.Microsecond
+	minStatementInterval = 300 * time.Millisecond
+	maxStatementInterval = time.Second
 
 	// burstLeft is the part of a burst under which the next statement is due.
 	burstLeft = 0.5
@@ -122,8 +125,7 @@
 
 // entry is what the process wants to be allowed for a workspace from now on.
 func (b *Book) entry(now time.Time, a *account) Entry {
-	a.decay(now)
-	rate := rateHeadroom * a.rate
+	rate := rateHeadroom * a.rate(now)
 	if !a.warm {
 		rate = max(rate, coldRateShare*float64(a.budget))
 	}
@@ -157,7 +159,7 @@
 	if b.confirmed == nil || len(b.pending) > 0 {
 		return true
 	}
-	quiet := now.Sub(b.confirmed.made) < statementInterval
+	quiet := now.Sub(b.confirmed.made) < b.statementInterval()
 	for workspace, a := range b.accounts {
 		if a.amount == 0 {
 			continue
@@ -178,6 +180,14 @@
 	return false
 }
 
+func (b *Book) statementInterval() time.Duration {
+	holders := 0
+	for _, a := range b.accounts {
+		holders = max(holders, len(a.row.Grants))
+	}
+	return min(max(time.Duration(holders)*intervalPerHolder, minStatementInterval), maxStatementInterval)
+}
+
 // Open takes in the statement of the VM's last process, the zero one for none,
 // as it was read at a time of the table's clock. Nothing is granted before.
 func (b *Book) Open(last Statement, version uint64, tableNow int64) {
