--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -410,8 +410,9 @@
 	return w, p
 }
 
-// spendAll spends what a process may, in requests of one size.
-func (w *world) spendAll(p *process, tokens int64) (spent int64) {
+// spendAll spends what a process may, in small requests.
+func (w *world) spendAll(p *process) (spent int64) {
+	const tokens = 100
 	for p.book.Reserve(w.now, workspace, tokens) == prepaid.Reserved {
 		p.book.Settle(workspace, tokens, tokens)
 		spent += tokens
@@ -440,7 +441,7 @@
 	w.holders["a"].commit(&w.version, lateWrite{version: version, stated: s})
 	p.book.Stated(s.Sequence, w.holders["a"].version)
 	w.now = w.now.Add(time.Hour)
-	if spent := w.spendAll(p, 100); spent > write.Row.Grants["a"].Amount {
+	if spent := w.spendAll(p); spent > write.Row.Grants["a"].Amount {
 		t.Fatalf("%d were spent though only %d may be left", spent, write.Row.Grants["a"].Amount)
 	}
 }
@@ -458,7 +459,7 @@
 	w.now = w.now.Add(time.Minute)
 	s, version := p.book.State(w.now, w.tableNow())
 	w.holders["a"].commit(&w.version, lateWrite{version: version, stated: s})
-	spent := 4_000 + w.spendAll(p, 100)
+	spent := 4_000 + w.spendAll(p)
 	entry := s.Entries[workspace]
 	if spent > entry.Base+entry.Burst {
 		t.Fatalf("%d were spent, but a successor would retire %d", spent, entry.Base+entry.Burst)
@@ -469,7 +470,7 @@
 	w := newWorld(100_000)
 	w.settleIn()
 	p := w.processes["a"]
-	spent := w.spendAll(p, 100)
+	spent := w.spendAll(p)
 	if spent == 0 {
 		t.Fatal("nothing was spent")
 	}
@@ -488,7 +489,7 @@
 	for _, vm := range []string{"a", "b", "c", "a", "b", "c", "a"} {
 		p := w.processes[vm]
 		for range 40 {
-			w.spendAll(p, 100)
+			w.spendAll(p)
 			w.keep(vm)
 			w.now = w.now.Add(400 * time.Millisecond)
 		}
