Let open requests go on until the last sixth of the grace, and test the router

Ruled out: the shutdown of the listener (the request was served); SIGKILL (later). Change: openUntil; a test of it that the old formula fails (6.60 s < 6.67 s). Tests of the direct router before endpoints that break off, refuse, garble, are out of reach or stream.

--- /dev/null
+++ b/direct/fakes_test.go
@@ -0,0 +1,273 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"jackdawswitch/catalog"
+	"jackdawswitch/config"
+	"jackdawswitch/refusal"
+	"jackdawswitch/secure"
+	"jackdawswitch/storage"
+)
+
+// testProtocol spells the headers in a way of its own.
+type testProtocol struct{}
+
+func (testProtocol) Request(h http.Header) (Request, error) {
+	prompt, _ := strconv.ParseInt(h.Get("T-Prompt"), 10, 64)
+	output, _ := strconv.ParseInt(h.Get("T-Output"), 10, 64)
+	ms, _ := strconv.Atoi(h.Get("T-Deadline"))
+	if h.Get("T-Bad") != "" {
+		return Request{}, refusal.NotRun(refusal.CauseMalformed, "bad")
+	}
+	return Request{
+		ID: h.Get("T-Id"), Key: h.Get("T-Key"), PromptTokens: prompt, MaxOutputTokens: output,
+		Deadline: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last-Event-Id"),
+	}, nil
+}
+
+func (testProtocol) Outgoing(in http.Header, d Dispatch) http.Header {
+	out := in.Clone()
+	out.Del("T-Key")
+	out.Set("T-Endpoint", d.Endpoint)
+	out.Set("T-Workspace", d.Workspace)
+	out.Set("T-Remaining", strconv.FormatInt(d.Remaining.Milliseconds(), 10))
+	if d.LastEventID != "" {
+		out.Set("Last-Event-Id", d.LastEventID)
+	}
+	return out
+}
+
+func (testProtocol) Answer(_ int, h http.Header) Answer {
+	return Answer{RequestID: h.Get("T-Id"), Signed: h.Get("T-Signed") != "", NotRun: h.Get("T-Not-Run") != "", Load: -1}
+}
+
+func (testProtocol) Returned(h http.Header) http.Header {
+	out := h.Clone()
+	out.Del("Content-Length")
+	return out
+}
+
+func (testProtocol) RefusalHeaders(h http.Header, id string) { h.Set("T-Id", id) }
+
+// memoryTable is a table that works, or doesn't.
+type memoryTable struct {
+	mu      sync.Mutex
+	rows    map[string]storage.Row
+	version uint64
+	down    bool
+}
+
+func (m *memoryTable) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *memoryTable) Commit(_ context.Context, txn storage.Transaction) (storage.Commit, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return storage.Commit{}, &storage.Error{Op: "commit", Kind: storage.KindUnavailable, Outcome: storage.OutcomeNotDone}
+	}
+	for _, c := range txn.Conditions {
+		if m.rows[c.Key].Version != c.Version {
+			return storage.Commit{}, &storage.Error{Op: "commit", Kind: storage.KindConflict, Outcome: storage.OutcomeNotDone}
+		}
+	}
+	m.version++
+	for _, p := range txn.Puts {
+		m.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: m.version}
+	}
+	return storage.Commit{Version: m.version}, nil
+}
+
+func (m *memoryTable) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return nil, &storage.Error{Op: "get", Kind: storage.KindUnavailable}
+	}
+	var out []storage.Row
+	for _, key := range keys {
+		if r, ok := m.rows[key]; ok {
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
+
+func (m *memoryTable) Now() (int64, bool) { return time.Now().UnixMilli(), true }
+
+// rig is a router before fake endpoints.
+type rig struct {
+	t       *testing.T
+	router  *Router
+	server  *httptest.Server
+	table   *memoryTable
+	handler func(w http.ResponseWriter, r *http.Request)
+
+	mu   sync.Mutex
+	seen []*http.Request
+	body []string
+}
+
+const testKey = "key-1"
+
+func testDeclaration() Declaration {
+	doc := &config.Document{}
+	doc.Register.Workspaces = []config.Workspace{{ID: "coffee", KeyHashes: []string{secure.Hash(testKey)}}}
+	doc.Register.Lots = []config.Lot{{ID: "day", Workspace: "coffee", Budget: 100_000}}
+	route := func(path string) Route {
+		return Route{
+			Name: path, Host: "h.example", Prefix: "/" + path + "/", MaxEndpoints: 2, Timeout: 2 * time.Second,
+			Targets: []Target{{Service: "s", Weight: 1}},
+		}
+	}
+	read, book, stream, resumed := route("read"), route("book"), route("stream"), route("resumed")
+	read.Repeatable = true
+	stream.Streaming, stream.MaxEndpoints = true, 1
+	resumed.Streaming, resumed.Resumable = true, true
+	return Declaration{
+		Version: 3, Document: doc, Routes: []Route{read, book, stream, resumed},
+		Services: map[string]Service{"s": {TokensPerEvent: 5}},
+		Limits:   Limits{MaxBodyBytes: 1000},
+	}
+}
+
+// newRig starts a router and n endpoints, which answer by handler.
+func newRig(t *testing.T, n int, handler func(w http.ResponseWriter, r *http.Request)) *rig {
+	t.Helper()
+	g := &rig{t: t, table: &memoryTable{rows: make(map[string]storage.Row)}, handler: handler}
+	g.router = New(Options{
+		Settings: Settings{VM: "vm", FailureDomain: "fd", RetryShare: 0.2}, Incarnation: 7,
+		Protocol: testProtocol{}, Table: g.table, Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
+	})
+	var list []catalog.Endpoint
+	for i := range n {
+		id := "e" + strconv.Itoa(i)
+		list = append(list, catalog.Endpoint{ID: id, Service: "s", Address: g.endpoint(id), Slots: 4})
+	}
+	g.router.ResetEndpoints(list)
+	g.router.Declare(testDeclaration())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.router.credit.Run(ctx)
+	}()
+	g.server = httptest.NewServer(g.router)
+	t.Cleanup(func() {
+		g.server.Close()
+		cancel()
+		<-done
+	})
+	return g
+}
+
+// endpoint starts one endpoint and returns its address.
+func (g *rig) endpoint(id string) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		g.mu.Lock()
+		g.seen = append(g.seen, r)
+		g.body = append(g.body, string(data))
+		g.mu.Unlock()
+		if r.Header.Get("T-Endpoint") != id {
+			g.t.Errorf("request for %s reached %s", r.Header.Get("T-Endpoint"), id)
+		}
+		w.Header().Set("T-Id", r.Header.Get("T-Id"))
+		w.Header().Set("T-Signed", id)
+		g.handler(w, r)
+	}))
+	g.t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// runs is the number of requests that reached an endpoint.
+func (g *rig) runs() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.seen)
+}
+
+// answer is what a caller got.
+type callerAnswer struct {
+	status int
+	body   string
+	header http.Header
+	// whole is false when the answer broke off.
+	whole bool
+}
+
+func (g *rig) request(method, path, body string, headers ...string) (*http.Request, error) {
+	req, err := http.NewRequest(method, g.server.URL+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "h.example"
+	req.Header.Set("T-Id", "r1")
+	req.Header.Set("T-Key", testKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return req, nil
+}
+
+func (g *rig) send(method, path, body string, headers ...string) callerAnswer {
+	g.t.Helper()
+	req, err := g.request(method, path, body, headers...)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return callerAnswer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return callerAnswer{status: resp.StatusCode, body: string(data), header: resp.Header, whole: err == nil}
+}
+
+// eventually waits until ok holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 500 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not in 5 s: " + what)
+}
+
+// cutOff closes the connection of a request without an end of the answer.
+func cutOff(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+func event(id int) string { return "id: " + strconv.Itoa(id) + "\ndata: x\n\n" }
+
+func stream(w http.ResponseWriter, from, to int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for id := from; id <= to; id++ {
+		_, _ = io.WriteString(w, event(id))
+		w.(http.Flusher).Flush()
+	}
+}
--- a/direct/router.go
+++ b/direct/router.go
@@ -35,8 +35,12 @@
 	// with some slack.
 	balancerNotice = 2500 * time.Millisecond
 
-	// leaveTime is the part of the grace that is kept for handing grants back.
-	leaveTime = 700 * time.Millisecond
+	// leaveTime is the part of the grace that is kept for handing grants back:
+	// some tens of calls of about 10 ms each. Until then open requests go on.
+	leaveTime = 800 * time.Millisecond
+
+	// exitTime is what the process takes to end after that.
+	exitTime = 100 * time.Millisecond
 
 	// headerTimeout, headerBytes and idleTimeout apply until a configuration
 	// tells others, and are generous, as the listener outlives configurations.
@@ -170,7 +174,7 @@
 	r.draining.Store(true)
 	r.logger.Info("draining", "grace", r.opts.Settings.Grace.String())
 	time.Sleep(balancerNotice)
-	limited, cancel := context.WithDeadline(context.Background(), stopped.Add(r.opts.Settings.Grace-2*leaveTime))
+	limited, cancel := context.WithDeadline(context.Background(), stopped.Add(openUntil(r.opts.Settings.Grace)))
 	defer cancel()
 	if err := server.Shutdown(limited); err != nil {
 		r.logger.Warn("requests cut off at the end of the grace", "error", err.Error())
@@ -179,6 +183,11 @@
 	return nil
 }
 
+// openUntil is how long after the request to stop open requests may go on.
+func openUntil(grace time.Duration) time.Duration {
+	return max(grace-leaveTime-exitTime, grace/2)
+}
+
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !r.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- /dev/null
+++ b/direct/router_test.go
@@ -0,0 +1,275 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"jackdawswitch/catalog"
+)
+
+func TestAnAnswerIsPassedOnUnchanged(t *testing.T) {
+	g := newRig(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Own", "yes")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "booked")
+	})
+	got := g.send(http.MethodPost, "/book/a%2Fb?q=%20&z", "body")
+	if got.status != http.StatusCreated || got.body != "booked" || got.header.Get("X-Own") != "yes" || !got.whole {
+		t.Fatalf("%+v", got)
+	}
+	seen := g.seen[0]
+	if seen.RequestURI != "/book/a%2Fb?q=%20&z" || seen.Host != "h.example" || g.body[0] != "body" {
+		t.Fatalf("the endpoint saw %s of %s with %q", seen.RequestURI, seen.Host, g.body[0])
+	}
+	if seen.Header.Get("T-Key") != "" || seen.Header.Get("T-Workspace") != "coffee" {
+		t.Fatalf("headers %v", seen.Header)
+	}
+	if ms, _ := strconv.Atoi(seen.Header.Get("T-Remaining")); ms <= 0 || ms > 2000 {
+		t.Fatalf("%d ms remain", ms)
+	}
+}
+
+func TestRefusalsBeforeAnyEndpoint(t *testing.T) {
+	g := newRig(t, 1, func(http.ResponseWriter, *http.Request) { t.Error("an endpoint was reached") })
+	for name, c := range map[string]struct {
+		path, body string
+		headers    []string
+		status     int
+	}{
+		"no route":    {"/none/a", "", nil, http.StatusNotFound},
+		"unknown key": {"/book/a", "", []string{"T-Key", "other"}, http.StatusUnauthorized},
+		"no key":      {"/book/a", "", []string{"T-Key", ""}, http.StatusUnauthorized},
+		"large body":  {"/book/a", strings.Repeat("x", 1001), nil, http.StatusRequestEntityTooLarge},
+		"bad header":  {"/book/a", "", []string{"T-Bad", "1"}, http.StatusBadRequest},
+	} {
+		if got := g.send(http.MethodPost, c.path, c.body, c.headers...); got.status != c.status {
+			t.Errorf("%s: status %d, want %d", name, got.status, c.status)
+		}
+	}
+}
+
+func TestARouterWithoutConfigurationAsksToComeBack(t *testing.T) {
+	g := newRig(t, 1, func(http.ResponseWriter, *http.Request) {})
+	g.router.table.Store(nil)
+	got := g.send(http.MethodGet, "/none/a", "")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || g.router.Ready() {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestConfigurationsNeverRevert(t *testing.T) {
+	g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) {})
+	older := testDeclaration()
+	older.Version, older.Routes = 2, nil
+	g.router.Declare(older)
+	if got := g.send(http.MethodGet, "/read/a", ""); got.status != http.StatusOK {
+		t.Fatalf("%+v", got)
+	}
+	newer := testDeclaration()
+	newer.Version, newer.Routes = 4, nil
+	g.router.Declare(newer)
+	if got := g.send(http.MethodGet, "/read/a", ""); got.status != http.StatusNotFound {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// TestProofNonRepeatableRunsAtMostOnce breaks off every answer: the endpoint may
+// have run the request, so that it is sent nowhere else and "not run" isn't said.
+func TestProofNonRepeatableRunsAtMostOnce(t *testing.T) {
+	g := newRig(t, 3, func(w http.ResponseWriter, _ *http.Request) { cutOff(w) })
+	got := g.send(http.MethodPost, "/book/a", "x")
+	if g.runs() != 1 || got.status != http.StatusBadGateway {
+		t.Fatalf("%d runs, status %d", g.runs(), got.status)
+	}
+}
+
+func TestARepeatableRequestIsSentOnceMoreAfterABreak(t *testing.T) {
+	var calls atomic.Int32
+	g := newRig(t, 3, func(w http.ResponseWriter, _ *http.Request) {
+		if calls.Add(1) == 1 {
+			cutOff(w)
+			return
+		}
+		_, _ = io.WriteString(w, "stock")
+	})
+	if got := g.send(http.MethodGet, "/read/a", ""); got.status != http.StatusOK || got.body != "stock" || g.runs() != 2 {
+		t.Fatalf("%+v after %d runs", got, g.runs())
+	}
+}
+
+func TestARefusalThatHasNotRunGoesToAnotherEndpointAndPromises(t *testing.T) {
+	g := newRig(t, 3, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("T-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	got := g.send(http.MethodPost, "/book/a", "x")
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || got.header.Get("T-Signed") != "" {
+		t.Fatalf("%+v", got)
+	}
+	if g.runs() != 2 {
+		t.Fatalf("%d endpoints were asked", g.runs())
+	}
+}
+
+func TestUnreachableEndpointsAreTriedElsewhere(t *testing.T) {
+	g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	g.router.PutEndpoint(catalog.Endpoint{ID: "a-gone", Service: "s", Address: "127.0.0.1:1"})
+	for range 5 {
+		if got := g.send(http.MethodPost, "/book/a", "x"); got.status != http.StatusOK {
+			t.Fatalf("%+v", got)
+		}
+	}
+}
+
+func TestAnswersThatAreNotTheRequestsOwnAreNotPassedOn(t *testing.T) {
+	for name, handler := range map[string]func(w http.ResponseWriter, r *http.Request){
+		"another request": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("T-Id", "r2") },
+		"not signed":      func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("T-Signed") },
+		"encoded":         func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Encoding", "gzip") },
+		"cut short": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "part")
+		},
+		"not an answer": func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_, _ = conn.Write([]byte("garbage\r\n\r\n"))
+			_ = conn.Close()
+		},
+	} {
+		g := newRig(t, 2, handler)
+		if got := g.send(http.MethodPost, "/book/a", "x"); got.status != http.StatusBadGateway || g.runs() != 1 {
+			t.Errorf("%s: status %d after %d runs", name, got.status, g.runs())
+		}
+	}
+}
+
+func TestAStreamIsPassedOnEventByEvent(t *testing.T) {
+	next := make(chan int)
+	g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		for id := range next {
+			stream(w, id, id)
+		}
+	})
+	req, err := g.request(http.MethodPost, "/stream/a", "x", "T-Prompt", "10", "T-Output", "100")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { next <- 1 }()
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	for id := 1; id <= 3; id++ {
+		got := make([]byte, len(event(id)))
+		if _, err := io.ReadFull(resp.Body, got); err != nil || string(got) != event(id) {
+			t.Fatalf("%q, %v", got, err)
+		}
+		if id < 3 {
+			next <- id + 1
+		}
+	}
+	close(next)
+	if rest, err := io.ReadAll(resp.Body); err != nil || len(rest) > 0 {
+		t.Fatalf("%q, %v", rest, err)
+	}
+}
+
+func TestABrokenStreamDoesNotLookComplete(t *testing.T) {
+	g := newRig(t, 2, func(w http.ResponseWriter, _ *http.Request) {
+		stream(w, 1, 3)
+		cutOff(w)
+	})
+	got := g.send(http.MethodPost, "/stream/a", "x")
+	if got.whole || g.runs() != 1 {
+		t.Fatalf("%+v after %d runs", got, g.runs())
+	}
+}
+
+// TestProofResumedStreamsHaveEachEventOnce breaks the stream within an event.
+func TestProofResumedStreamsHaveEachEventOnce(t *testing.T) {
+	g := newRig(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		if after := r.Header.Get("Last-Event-Id"); after != "" {
+			from, _ := strconv.Atoi(after)
+			stream(w, from+1, 6)
+			return
+		}
+		stream(w, 1, 3)
+		_, _ = io.WriteString(w, "id: 4\nda")
+		w.(http.Flusher).Flush()
+		cutOff(w)
+	})
+	got := g.send(http.MethodPost, "/resumed/a", "x")
+	want := ""
+	for id := 1; id <= 6; id++ {
+		want += event(id)
+	}
+	if !got.whole || got.body != want || g.runs() != 2 || got.header.Get("T-Signed") == "" {
+		t.Fatalf("whole %v after %d runs: %q", got.whole, g.runs(), got.body)
+	}
+}
+
+func TestEventsThatSkipOneBreakTheStream(t *testing.T) {
+	g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		stream(w, 1, 2)
+		stream(w, 4, 5)
+	})
+	if got := g.send(http.MethodPost, "/stream/a", "x"); got.whole || strings.Contains(got.body, "id: 4") {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestACallerThatLeavesEndsTheRun(t *testing.T) {
+	ended := make(chan struct{})
+	started := make(chan struct{})
+	g := newRig(t, 1, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := g.request(http.MethodPost, "/stream/a", "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		<-started
+		cancel()
+	}()
+	if resp, err := http.DefaultClient.Do(req.WithContext(ctx)); err == nil {
+		_ = resp.Body.Close()
+		t.Fatal("answered")
+	}
+	select {
+	case <-ended:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the endpoint is still at work")
+	}
+}
+
+func TestTheShorterOfRouteAndCallerBoundsTheWait(t *testing.T) {
+	g := newRig(t, 1, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	got := g.send(http.MethodPost, "/book/a", "x", "T-Deadline", "100")
+	if got.status != http.StatusGatewayTimeout {
+		t.Fatalf("%+v", got)
+	}
+	if ms, _ := strconv.Atoi(g.seen[0].Header.Get("T-Remaining")); ms > 100 {
+		t.Fatalf("the endpoint was given %d ms", ms)
+	}
+}
+
+// TestOpenRequestsGoOnUntilTheLastPartOfTheGrace: a request may be cut off only
+// in the last sixth of the grace, and what follows must fit into it.
+func TestOpenRequestsGoOnUntilTheLastPartOfTheGrace(t *testing.T) {
+	for _, grace := range []time.Duration{8 * time.Second, 20 * time.Second} {
+		if open := openUntil(grace); open < grace*5/6 || open+leaveTime+exitTime > grace {
+			t.Errorf("with a grace of %s requests are open for %s", grace, open)
+		}
+	}
+}
