--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -274,7 +274,7 @@
 	}
 	s.book.Open(last, version, tableNow)
 	s.opts.Logger.Info("last statement read", "incarnation", last.Incarnation, "entries", len(last.Entries),
-		"age_ms", tableNow-last.At, "row_version", version)
+		"age_ms", tableNow-last.At, "version", version)
 	return nil
 }
 
@@ -360,7 +360,7 @@
 	}
 	s.book.Done(time.Now(), write, done.Version)
 	account := s.book.Describe(time.Now(), write.Workspace)
-	s.opts.Logger.Info("grant written", "workspace", write.Workspace, "row_version", done.Version,
+	s.opts.Logger.Info("grant written", "workspace", write.Workspace, "version", done.Version,
 		"amount", write.amount, "unspent", account.Unspent, "ungranted", account.Ungranted,
 		"fleet_spent", write.Row.spent(), "tokens_per_s", int64(account.Rate))
 	return nil
