Let a killed fleet use nearly all of its budgets, and hand back what a dead process left

A budget of which the last 3% can't be reached makes every later small request a false refusal. Ruled out: delivered output (billed by events, within one event of the truth); the registrations; the start (statement read 1.4 s after the power loss). Change: the stated rate accrues only after 2.5 s, when a successor would have come; bursts are bounded by 2% of the budget, more while it lasts long; a process's part is taken from what the account tells of all; the account is written when spending grew by 2%; retirements are written in any case.

--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -63,6 +63,11 @@
 	rereadPerAccount  = 250 * time.Millisecond
 	minRereadInterval = 2 * time.Second
 
+	// toldShare is the part of a budget by which a process's spending may have
+	// grown before the account is written only to tell it. The parts that the
+	// holders take follow from it.
+	toldShare = 0.02
+
 	// exhaustedInterval is the time between two reads of an account whose budget
 	// is wholly granted, while requests are refused for it.
 	exhaustedInterval = 300 * time.Millisecond
@@ -109,10 +114,7 @@
 	short, long float64
 	rateAt      time.Time
 	warm        bool
-	// largest is the largest request seen lately, as of largestAt.
-	largest   int64
-	largestAt time.Time
-	triedAt   time.Time
+	triedAt     time.Time
 }
 
 // unspent is what is left of the grant.
@@ -200,9 +202,6 @@
 	a.short += float64(tokens) / shortWindow.Seconds()
 	a.long += float64(tokens) / longWindow.Seconds()
 	a.warm = a.warm || now.Sub(a.knownAt) >= longWindow
-	if float64(tokens) >= a.largestNow(now) {
-		a.largest, a.largestAt = tokens, now
-	}
 }
 
 func (a *account) decay(now time.Time) {
@@ -246,21 +245,21 @@
 	return max(min(want, most), a.wanted)
 }
 
-// share is the process's part of the workspace's spending, as far as is known,
-// and at least half of an equal part. Most workspaces spend mainly at the
-// routers of one failure domain.
+// share is the process's part of the workspace's spending as the account tells
+// it, and at least half of an equal part. Most workspaces spend mainly at the
+// routers of one failure domain. The own part is taken as it was told too, so
+// that the parts of all processes add up.
 func (b *Book) share(a *account) float64 {
 	equal := 1 / float64(max(len(a.row.Grants), 1))
-	own, others := a.spent+a.reserved, int64(0)
-	for vm, g := range a.row.Grants {
-		if vm != b.vm {
-			others += g.Spent
-		}
+	told := int64(0)
+	for _, g := range a.row.Grants {
+		told += g.Spent
 	}
-	if own+others == 0 {
+	own := a.row.Grants[b.vm]
+	if told == 0 || own.Incarnation != b.incarnation {
 		return equal
 	}
-	return max(float64(own)/float64(own+others), equal/2)
+	return max(float64(own.Spent)/float64(told), equal/2)
 }
 
 func (b *Book) scarce(a *account) bool {
@@ -329,8 +328,12 @@
 	amount := a.amount + b.change(now, a, ungranted)
 	wanted := a.wanted
 	a.wanted = 0
-	unchanged := amount == own.Amount && own.Incarnation == b.incarnation && !a.unresolved && !b.scarce(a)
-	if unchanged || amount == 0 && own.Amount == 0 && wanted == 0 && version > 0 {
+	toldLate := float64(a.spent+a.reserved-own.Spent) > toldShare*float64(a.budget)
+	unchanged := amount == own.Amount && own.Incarnation == b.incarnation && !a.unresolved && !b.scarce(a) && !toldLate
+	useless := amount == 0 && own.Amount == 0 && wanted == 0 && version > 0
+	last, held := row.Grants[b.vm]
+	retires := held && last.Incarnation != b.incarnation
+	if (unchanged || useless) && !retires {
 		return nil
 	}
 	next.Grants[b.vm] = Grant{Incarnation: b.incarnation, Amount: amount, Spent: a.spent + a.reserved}
@@ -508,10 +511,11 @@
 	if a == nil || b.confirmed == nil || a.unspent() < tokens {
 		return 0
 	}
-	rate := b.confirmed.statement.Entries[workspace].Rate
-	missing := tokens - b.available(now, workspace, a)
-	if rate <= 0 || missing <= 0 {
+	e := b.confirmed.statement.Entries[workspace]
+	missing := tokens + a.spent + a.reserved - e.Base - e.Burst
+	if e.Rate <= 0 || missing <= 0 {
 		return 0
 	}
-	return time.Duration(float64(missing) / float64(rate) * float64(time.Second))
+	at := max(time.Duration(float64(missing)/float64(e.Rate)*float64(time.Second)), accrualDelay)
+	return max(at-b.statementAge(now), 0)
 }
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -25,8 +25,8 @@
 	Closed map[int64]map[string]int64 `json:"closed,omitempty"`
 }
 
-// Entry bounds the spending of one workspace: at most Base + Burst, and Rate for
-// each second since the statement.
+// Entry bounds the spending of one workspace: at most Base + Burst, and once the
+// statement is older than accrualDelay, Rate for each second of its age.
 type Entry struct {
 	// Base is what was spent and reserved when the statement was made.
 	Base  int64 `json:"base"`
@@ -37,7 +37,10 @@
 
 // allowed is the spending that the entry allows at a time after its making.
 func (e Entry) allowed(elapsed time.Duration) int64 {
-	return e.Base + e.Burst + int64(float64(e.Rate)*max(elapsed, 0).Seconds())
+	if elapsed < accrualDelay {
+		return e.Base + e.Burst
+	}
+	return e.Base + e.Burst + int64(float64(e.Rate)*elapsed.Seconds())
 }
 
 // DecodeStatement decodes a holder's statement. Its error is a *RowError.
@@ -101,8 +104,26 @@
 	// much when the process dies.
 	rateHeadroom = 1.6
 
-	// burstTime is the spending that one statement allows at once.
-	burstTime = time.Second
+	// burstTime is the spending that one statement allows at once, if the budget
+	// is large enough: it lasts until the stated rate sets in.
+	burstTime = accrualDelay
+
+	// burstShare is the largest part of a budget that the bursts of all holders
+	// allow while the budget is running out. It is what a budget loses when all
+	// of them die at once, and stays under the 3 in 100 of a budget that need not
+	// be usable to the last token.
+	burstShare = 0.02
+
+	// A budget that lasts longer than runningOut allows more, in proportion, up
+	// to maxBurstFactor times as much.
+	runningOut     = 20 * time.Second
+	maxBurstFactor = 4
+
+	// accrualDelay is the age of a statement up to which only its burst may be
+	// spent. A process that is killed is followed by its successor in 1 to 2 s, so
+	// that nothing more is lost with it; in a longer partition from the table,
+	// spending goes on at the stated rate after it.
+	accrualDelay = 2500 * time.Millisecond
 
 	// The time between two statements while credit is spent grows with the
 	// number of routers that hold grants, so that all of them together write some
@@ -117,10 +138,6 @@
 	// coldRateShare is the share of a budget that may be spent each second while
 	// nothing is known of the workspace's rate: a day's budget in some minutes.
 	coldRateShare = 0.004
-
-	// largestDecay is the time in which the largest request seen loses most of
-	// its weight in the burst.
-	largestDecay = 10 * time.Second
 )
 
 // entry is what the process wants to be allowed for a workspace from now on.
@@ -129,13 +146,19 @@
 	if !a.warm {
 		rate = max(rate, coldRateShare*float64(a.budget))
 	}
-	burst := max(rate*burstTime.Seconds(), a.largestNow(now), float64(a.wanted))
+	most := burstShare * float64(a.budget) * b.share(a) * b.burstFactor(now, a)
+	burst := max(min(rate*burstTime.Seconds(), most), float64(a.wanted))
 	return Entry{Base: a.spent + a.reserved, Burst: int64(math.Ceil(burst)), Rate: int64(math.Ceil(rate))}
 }
 
-// largestNow is the largest request seen lately, which a burst must allow.
-func (a *account) largestNow(now time.Time) float64 {
-	return float64(a.largest) * math.Exp(-float64(now.Sub(a.largestAt))/float64(largestDecay))
+// burstFactor is by how much the budget outlasts runningOut at the current rate.
+func (b *Book) burstFactor(now time.Time, a *account) float64 {
+	rate := a.rate(now) / b.share(a)
+	if rate <= 0 {
+		return maxBurstFactor
+	}
+	lasts := float64(b.left(a)) / rate
+	return min(max(lasts/runningOut.Seconds(), 1), maxBurstFactor)
 }
 
 // allowed is the spending that the statements allow. Until a write's outcome is
