Let spending in a partition go on at its mean rate

Change: the stated rate is 1.25 times the mean over 10 s; the end of a request logs its reservation and what it used.

--- a/direct/serve.go
+++ b/direct/serve.go
@@ -48,10 +48,10 @@
 		err = x.admit(ctx)
 		if err == nil {
 			err = x.run(ctx)
-			x.settle()
 		}
 	}
 	x.logEnd(err)
+	x.settle()
 	if err != nil {
 		x.refuse(refusal.As(err))
 	}
@@ -173,14 +173,17 @@
 	if x.reserved == 0 {
 		return
 	}
-	used := int64(0)
-	if x.ran {
-		used = x.in.PromptTokens + x.outputUsed()
-	}
-	x.router.credit.Settle(x.workspace, x.reserved, used)
+	x.router.credit.Settle(x.workspace, x.reserved, x.tokensUsed())
 	x.reserved = 0
 }
 
+func (x *exchange) tokensUsed() int64 {
+	if !x.ran {
+		return 0
+	}
+	return x.in.PromptTokens + x.outputUsed()
+}
+
 // outputUsed is the output tokens delivered at most.
 func (x *exchange) outputUsed() int64 {
 	perEvent := x.table.services[x.service].TokensPerEvent
@@ -198,6 +201,9 @@
 		"config_version", x.configVersion(), "state", x.progress.state, "attempts", len(x.excluded),
 		"events", x.events, "elapsed_ms", elapsed.Milliseconds(),
 	}
+	if x.reserved > 0 {
+		fields = append(fields, "tokens_reserved", x.reserved, "tokens_used", x.tokensUsed())
+	}
 	if !x.firstAt.IsZero() {
 		fields = append(fields, "first_ms", x.firstAt.Sub(x.started).Milliseconds())
 	}
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -99,10 +99,10 @@
 }
 
 const (
-	// rateHeadroom is the factor by which spending may exceed its recent rate
-	// before the next statement. More serves bursts in a partition, and loses as
-	// much when the process dies.
-	rateHeadroom = 1.6
+	// rateHeadroom is the factor by which spending may exceed its mean rate in a
+	// partition. More serves bursts there, and loses as much of the budget when
+	// the process dies and is away for longer than accrualDelay.
+	rateHeadroom = 1.25
 
 	// burstTime is the spending that one statement allows at once, if the budget
 	// is large enough: it lasts until the stated rate sets in.
@@ -142,12 +142,13 @@
 
 // entry is what the process wants to be allowed for a workspace from now on.
 func (b *Book) entry(now time.Time, a *account) Entry {
-	rate := rateHeadroom * a.rate(now)
+	a.decay(now)
+	rate := rateHeadroom * a.long
 	if !a.warm {
 		rate = max(rate, coldRateShare*float64(a.budget))
 	}
 	most := burstShare * float64(a.budget) * b.share(a) * b.burstFactor(now, a)
-	burst := max(min(rate*burstTime.Seconds(), most), float64(a.wanted))
+	burst := max(min(max(rate, a.rate(now))*burstTime.Seconds(), most), float64(a.wanted))
 	return Entry{Base: a.spent + a.reserved, Burst: int64(math.Ceil(burst)), Rate: int64(math.Ceil(rate))}
 }
 
