Hold grants only of the budgets in use, where there are many

Change: an account is active from its first request until its grant is closed after 30 s without one; up to 64 accounts all stay active, as before. Closing retires what was spent and removes the grant; nothing is spent from when it is planned. Ruled out: handing back all but what was spent (an account without an entry in the statement would be retired at nothing by a successor: overspend).

--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -13,6 +13,7 @@
 package prepaid
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -31,12 +32,21 @@
 	Taper float64
 	// RefillShare is the share of its target below which a grant is refilled.
 	RefillShare float64
+	// MaxEager is the number of accounts up to which grants of all of them are
+	// held, also before their first request.
+	MaxEager int
+	// IdleAfter is the time without a request after which a grant is closed,
+	// where there are more accounts than that.
+	IdleAfter time.Duration
 }
 
 // DefaultPolicy covers partitions of 8 to 12 s, the longest that the
 // deployments' own days bring about.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 12 * time.Second, SpreadShare: 0.4, Taper: 0.25, RefillShare: 0.75}
+	return Policy{
+		Horizon: 12 * time.Second, SpreadShare: 0.4, Taper: 0.25, RefillShare: 0.75,
+		MaxEager: 64, IdleAfter: 30 * time.Second,
+	}
 }
 
 const (
@@ -115,6 +125,10 @@
 	rateAt      time.Time
 	warm        bool
 	triedAt     time.Time
+	// usedAt is when a request asked for credit last.
+	usedAt time.Time
+	// closing is the part of spent that a write under way retires with the grant.
+	closing int64
 }
 
 // unspent is what is left of the grant.
@@ -128,6 +142,9 @@
 	incarnation int64
 	policy      Policy
 	accounts    map[string]*account
+	// active are the accounts that are in use or hold a grant. Of a few, all are:
+	// their grants are opened before the first request.
+	active map[string]*account
 
 	// opened is set once the last process's statement is known.
 	opened bool
@@ -152,7 +169,10 @@
 // the processes of the VM, of which one runs at a time: a grant of another
 // incarnation is a predecessor's.
 func NewBook(vm string, incarnation int64, policy Policy) *Book {
-	return &Book{vm: vm, incarnation: incarnation, policy: policy, accounts: make(map[string]*account)}
+	return &Book{
+		vm: vm, incarnation: incarnation, policy: policy,
+		accounts: make(map[string]*account), active: make(map[string]*account),
+	}
 }
 
 // SetBudgets replaces the budgets. An account whose budget is gone stays, as a
@@ -166,6 +186,17 @@
 		}
 		a.budget = budget
 	}
+	if b.few() {
+		maps.Copy(b.active, b.accounts)
+	}
+}
+
+// few reports whether all accounts are kept active.
+func (b *Book) few() bool { return len(b.accounts) <= b.policy.MaxEager }
+
+// idle reports whether an account's grant is to be handed back.
+func (b *Book) idle(now time.Time, a *account) bool {
+	return !b.few() && a.reserved == 0 && now.Sub(a.usedAt) > b.policy.IdleAfter
 }
 
 // Reserve holds tokens for a request, at the most it can use.
@@ -174,6 +205,8 @@
 	if a == nil {
 		return Exhausted
 	}
+	a.usedAt = now
+	b.active[workspace] = a
 	if b.available(now, workspace, a) >= tokens {
 		a.reserved += tokens
 		a.observe(now, tokens)
@@ -272,7 +305,11 @@
 	if !b.opened {
 		return nil
 	}
-	for workspace, a := range b.accounts {
+	for workspace, a := range b.active {
+		if b.idle(now, a) && a.amount == 0 && a.spent == 0 && !a.unresolved {
+			delete(b.active, workspace)
+			continue
+		}
 		if b.needs(now, a) {
 			out = append(out, workspace)
 		}
@@ -282,11 +319,11 @@
 }
 
 func (b *Book) rereadInterval() time.Duration {
-	return max(time.Duration(len(b.accounts))*rereadPerAccount, minRereadInterval)
+	return max(time.Duration(len(b.active))*rereadPerAccount, minRereadInterval)
 }
 
 func (b *Book) needs(now time.Time, a *account) bool {
-	if !a.known || a.unresolved {
+	if !a.known || a.unresolved || b.idle(now, a) {
 		return true
 	}
 	if a.wanted > a.unspent() {
@@ -311,6 +348,8 @@
 	Version uint64
 	// amount is the process's grant once the write is done.
 	amount int64
+	// closes is set for the write that ends the grant.
+	closes bool
 }
 
 // Plan takes in an account's row as it was just read, with version 0 for none,
@@ -322,6 +361,9 @@
 	}
 	b.take(now, a, row, version)
 	a.triedAt = now
+	if b.idle(now, a) {
+		return b.planClose(a, workspace, row, version)
+	}
 	next := row.clone()
 	own := b.own(workspace, &next)
 	ungranted := max(a.budget-next.granted(), 0)
@@ -371,8 +413,17 @@
 	a.unresolved = false
 	a.amount = 0
 	if g, ok := row.Grants[b.vm]; ok && g.Incarnation == b.incarnation {
-		a.amount = g.Amount
+		a.amount, a.closing = g.Amount, 0
+		return
 	}
+	a.closed()
+}
+
+// closed takes in that the grant ended, with what was spent of it.
+func (a *account) closed() {
+	a.amount = 0
+	a.spent -= a.closing
+	a.closing = 0
 }
 
 // change is the tokens to add to the grant, or to hand back when below 0.
@@ -395,18 +446,25 @@
 func (b *Book) Done(now time.Time, w *Write, version uint64) {
 	a := b.accounts[w.Workspace]
 	a.row, a.version, a.readAt, a.known = w.Row, version, now, true
-	a.amount = w.amount
 	a.unresolved = false
 	b.retired(w.Workspace)
+	if w.closes {
+		a.closed()
+		return
+	}
+	a.amount, a.closing = w.amount, 0
 }
 
 // Failed takes in that a write failed. Unless it provably did not and will not
 // take effect, the next read resolves it.
 func (b *Book) Failed(w *Write, notDone bool) {
+	a := b.accounts[w.Workspace]
 	if notDone {
+		if w.closes {
+			a.closing = 0
+		}
 		return
 	}
-	a := b.accounts[w.Workspace]
 	a.unresolved = true
 	a.unresolvedAt = w.Version
 }
@@ -419,15 +477,21 @@
 		return nil
 	}
 	b.take(now, a, row, version)
+	return b.planClose(a, workspace, row, version)
+}
+
+// planClose returns the write that ends the grant and retires what was spent and
+// is reserved of it; nil when there is none. Nothing is spent from then on.
+func (b *Book) planClose(a *account, workspace string, row Row, version uint64) *Write {
 	next := row.clone()
-	own := b.own(workspace, &next)
-	if own.Amount == 0 {
+	if own := b.own(workspace, &next); own.Amount == 0 {
 		return nil
 	}
 	delete(next.Grants, b.vm)
-	next.Retired += a.spent + a.reserved
+	a.closing = a.spent + a.reserved
+	next.Retired += a.closing
 	a.amount = 0
-	return &Write{Workspace: workspace, Row: next, Version: version}
+	return &Write{Workspace: workspace, Row: next, Version: version, closes: true}
 }
 
 // Held returns the workspaces of which the process may hold a grant.
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"os"
+	"strconv"
 	"testing"
 	"time"
 
@@ -62,6 +63,7 @@
 	holders   map[string]*cell
 	processes map[string]*process
 	budget    int64
+	policy    prepaid.Policy
 	// spent is final, open requests may spend all that they reserved.
 	spent int64
 	count int64
@@ -70,7 +72,13 @@
 var vms = []string{"a", "b", "c"}
 
 func newWorld(budget int64) *world {
-	w := &world{now: time.Unix(1_000_000, 0), budget: budget, holders: make(map[string]*cell), processes: make(map[string]*process)}
+	return newWorldWith(budget, prepaid.DefaultPolicy())
+}
+
+func newWorldWith(budget int64, policy prepaid.Policy) *world {
+	w := &world{
+		now: time.Unix(1_000_000, 0), budget: budget, policy: policy, holders: make(map[string]*cell), processes: make(map[string]*process),
+	}
 	for _, vm := range vms {
 		w.holders[vm] = &cell{}
 		w.start(vm)
@@ -80,7 +88,7 @@
 
 func (w *world) start(vm string) {
 	w.count++
-	p := &process{book: prepaid.NewBook(vm, w.count, prepaid.DefaultPolicy())}
+	p := &process{book: prepaid.NewBook(vm, w.count, w.policy)}
 	p.book.SetBudgets(map[string]int64{workspace: w.budget})
 	w.processes[vm] = p
 }
@@ -243,7 +251,12 @@
 
 func TestProofSpendNeverExceedsTheBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Int64Range(500, 20_000).Draw(t, "budget"))
+		policy := prepaid.DefaultPolicy()
+		if rapid.Bool().Draw(t, "many") {
+			// As with many accounts: grants are closed when they are not used.
+			policy.MaxEager, policy.IdleAfter = 0, 3*time.Second
+		}
+		w := newWorldWith(rapid.Int64Range(500, 20_000).Draw(t, "budget"), policy)
 		on := func(do func(*rapid.T, string)) func(*rapid.T) {
 			return func(t *rapid.T) { do(t, rapid.SampledFrom(vms).Draw(t, "vm")) }
 		}
@@ -536,3 +549,42 @@
 		t.Fatalf("%d of %d were spent: %+v", w.spent, w.budget, w.account.row)
 	}
 }
+
+// TestOfManyBudgetsOnlyThoseInUseAreHeld plays the size of 140,000 budgets.
+func TestOfManyBudgetsOnlyThoseInUseAreHeld(t *testing.T) {
+	b := prepaid.NewBook("a", 1, prepaid.DefaultPolicy())
+	budgets := make(map[string]int64)
+	for i := range 140_000 {
+		budgets["w"+strconv.Itoa(i)] = 1_000_000
+	}
+	b.SetBudgets(budgets)
+	now := time.Unix(1_000_000, 0)
+	b.Open(prepaid.Statement{}, 0, now.UnixMilli())
+	if n := len(b.Needs(now)); n != 0 {
+		t.Fatalf("%d accounts are read at the start", n)
+	}
+	b.Reserve(now, "w7", 100)
+	if needs := b.Needs(now); len(needs) != 1 || needs[0] != "w7" {
+		t.Fatalf("%v", needs)
+	}
+	write := b.Plan(now, "w7", prepaid.Row{}, 0)
+	b.Done(now, write, 1)
+	s, _ := b.State(now, now.UnixMilli())
+	b.Stated(s.Sequence, 2)
+	if len(s.Entries) != 1 || b.Reserve(now, "w7", 100) != prepaid.Reserved {
+		t.Fatalf("%+v", s)
+	}
+	b.Settle("w7", 100, 40)
+	now = now.Add(31 * time.Second)
+	if needs := b.Needs(now); len(needs) != 1 {
+		t.Fatalf("%v", needs)
+	}
+	back := b.Plan(now, "w7", write.Row, 1)
+	if back == nil || len(back.Row.Grants) != 0 || back.Row.Retired != 40 {
+		t.Fatalf("%+v", back)
+	}
+	b.Done(now, back, 3)
+	if needs := b.Needs(now); len(needs) != 0 {
+		t.Fatalf("%v", needs)
+	}
+}
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -184,7 +184,7 @@
 		return true
 	}
 	quiet := now.Sub(b.confirmed.made) < b.statementInterval()
-	for workspace, a := range b.accounts {
+	for workspace, a := range b.active {
 		if a.amount == 0 {
 			continue
 		}
@@ -206,7 +206,7 @@
 
 func (b *Book) statementInterval() time.Duration {
 	holders := 0
-	for _, a := range b.accounts {
+	for _, a := range b.active {
 		holders = max(holders, len(a.row.Grants))
 	}
 	return min(max(time.Duration(holders)*intervalPerHolder, minStatementInterval), maxStatementInterval)
@@ -239,7 +239,7 @@
 		Incarnation: b.incarnation, Sequence: b.sequence, At: tableNow,
 		Entries: make(map[string]Entry), Closed: cloneClosed(b.closed),
 	}
-	for workspace, a := range b.accounts {
+	for workspace, a := range b.active {
 		if a.amount > 0 || a.reserved > 0 {
 			s.Entries[workspace] = b.entry(now, a)
 		}
