--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -26,6 +26,10 @@
 	// with many workspaces does not exceed the table's rate.
 	maxConcurrent = 4
 
+	// slowAfter is the time after which a statement under way is no longer worth
+	// waiting for: ten times what one takes on an ordinary day.
+	slowAfter = 120 * time.Millisecond
+
 	keyPrefix = "prepaid/"
 	keySuffix = "/account"
 )
@@ -70,9 +74,10 @@
 	tasks   sync.WaitGroup
 	// stating is set while a statement is read or written; away is set from a
 	// failure of that until it works again.
-	stating bool
-	away    bool
-	state   pause
+	stating      bool
+	statingSince time.Time
+	away         bool
+	state        pause
 }
 
 // pause holds back the calls for an account after a failure.
@@ -109,13 +114,13 @@
 }
 
 // Reserve holds tokens for a request. When the grant doesn't cover it, it waits
-// for a refill for at most wait, and not at all while the table is away.
+// for a refill for at most wait, and not at all while the table is away or slow.
 func (s *Service) Reserve(ctx context.Context, workspace string, tokens int64, wait time.Duration) Verdict {
 	var timeout <-chan time.Time
 	for {
 		s.mu.Lock()
 		verdict := s.book.Reserve(time.Now(), workspace, tokens)
-		changed, away := s.changed, s.away
+		changed, away := s.changed, s.away || s.stating && time.Since(s.statingSince) > slowAfter
 		s.mu.Unlock()
 		if verdict != Short || away {
 			return verdict
@@ -188,7 +193,7 @@
 	now := time.Now()
 	due := !s.book.Opened() || s.book.StatementDue(now)
 	if due && !s.stating && !now.Before(s.state.until) {
-		s.stating = true
+		s.stating, s.statingSince = true, now
 		s.tasks.Go(func() { s.finishState(s.makeStatement(ctx)) })
 	}
 	for _, workspace := range s.book.Needs(now) {
