Log what the choice of the endpoint was made from with each request's end

Trial, reverted: delays of first tokens as a sign of what other routers sent. Tried: the delay of the last first token, fading over 1 s, and the wait of those open now, as tokens at the fastest reading rate seen. Its test passed without the change too, as open requests alone spread such a load. Conclusion: reverted; the inputs of the choice stay in the log line.

--- a/direct/serve.go
+++ b/direct/serve.go
@@ -208,7 +208,10 @@
 		fields = append(fields, "first_ms", x.firstAt.Sub(x.started).Milliseconds())
 	}
 	if x.last != nil {
-		fields = append(fields, "endpoint", x.last.choice.Endpoint.ID, "status", x.last.status)
+		c := x.last.choice
+		fields = append(fields, "endpoint", c.Endpoint.ID, "status", x.last.status, "open", c.Open,
+			"waiting_tokens", c.Waiting, "unread_tokens", c.Unread, "reported", c.Reported,
+			"reported_age_ms", c.ReportedAge.Milliseconds(), "candidates", c.Candidates)
 	}
 	if err == nil {
 		x.router.logger.Info("request answered", fields...)
