--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -31,9 +31,6 @@
 	// Slots is the number of requests the endpoint runs at once.
 	Slots   int
 	Leaving bool
-	// WarmIn is how much longer the endpoint is slow after its start.
-	WarmIn time.Duration
-	Models []string
 }
 
 // entry is an endpoint with what the catalog decided about it.
--- a/direct/declaration.go
+++ b/direct/declaration.go
@@ -38,10 +38,6 @@
 	// MaxEndpoints is the largest number of endpoints one request may be sent to.
 	MaxEndpoints int
 	Timeout      time.Duration
-	// Objective is the time to the answer, or the first event, that is aimed at.
-	Objective time.Duration
-	// MaxPause is the longest pause between events that is aimed at, 0 for none.
-	MaxPause time.Duration
 	// Rank orders requests; 0 goes first.
 	Rank int
 	// Anonymous requests need no key.
@@ -59,20 +55,12 @@
 	// TokensPerEvent is the output tokens one event of a stream holds at most,
 	// 0 if not declared.
 	TokensPerEvent int64
-	// MaxConnections is what one endpoint accepts from all callers together.
-	MaxConnections int
-	// Slots is the requests that one endpoint runs at once, 0 if not declared.
-	Slots int
-	// CacheTokens is one endpoint's memory for prompts and outputs, in tokens.
-	CacheTokens int64
 }
 
 // Limits bound what callers may send.
 type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
+	// MaxBodyBytes is the largest body.
+	MaxBodyBytes int64
 }
 
 // table is a declaration prepared for lookups. It is immutable.
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -14,7 +14,6 @@
 	Key string
 	// Deadline is how long the caller waits, 0 if not told.
 	Deadline time.Duration
-	Model    string
 	// PromptTokens and MaxOutputTokens bound the size of a generation, 0 for
 	// requests that generate nothing.
 	PromptTokens, MaxOutputTokens int64
--- a/direct/router.go
+++ b/direct/router.go
@@ -24,9 +24,6 @@
 )
 
 const (
-	prepaidReserved  = prepaid.Reserved
-	prepaidExhausted = prepaid.Exhausted
-
 	// housekeeping is how often held endpoints are looked at.
 	housekeeping = 100 * time.Millisecond
 
@@ -106,11 +103,6 @@
 		"services", len(d.Services), "workspaces", len(d.Document.Register.Workspaces))
 }
 
-// ConfigAway notes that the source of configurations is lost or regained.
-func (r *Router) ConfigAway(away bool) {
-	r.logger.Info("configuration source", "away", away)
-}
-
 // Ready reports whether callers may be sent to this process.
 func (r *Router) Ready() bool {
 	return !r.draining.Load() && r.table.Load() != nil && r.ready()
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"jackdawswitch/prepaid"
 	"jackdawswitch/refusal"
 )
 
@@ -148,7 +149,7 @@
 		return nil
 	}
 	verdict := r.credit.Reserve(ctx, x.workspace, tokens, creditWait)
-	if verdict == prepaidReserved {
+	if verdict == prepaid.Reserved {
 		x.reserved = tokens
 		return nil
 	}
@@ -156,8 +157,8 @@
 	r.logger.Info("credit not reserved", "request", x.in.ID, "workspace", x.workspace, "tokens", tokens,
 		"available", account.Available, "unspent", account.Unspent, "ungranted", account.Ungranted,
 		"age_ms", account.Age.Milliseconds(), "statement_age_ms", account.StatementAge.Milliseconds(),
-		"exhausted", verdict == prepaidExhausted)
-	if verdict == prepaidExhausted {
+		"exhausted", verdict == prepaid.Exhausted)
+	if verdict == prepaid.Exhausted {
 		return refusal.NotRun(refusal.CauseCreditExhausted, "workspace %s", x.workspace)
 	}
 	wait := r.credit.RefillIn(x.workspace, tokens)
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -12,11 +12,7 @@
 	Callers, Readiness string
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
-	// Settle is the time without disruption after which a caller may rely on
-	// bounds again.
-	Settle time.Duration
-	// RetryShare is the share of the requests for a service that may be sent
-	// once more in each RetryWindow, with RetrySlack more for the whole fleet.
-	RetryShare, RetrySlack float64
-	RetryWindow            time.Duration
+	// RetryShare is the share of the requests for a service that the whole fleet
+	// may send once more.
+	RetryShare float64
 }
