Call what the project has, and drop what nothing uses

Cause: found by reading the whole change once more. Change: package rendezvous, storage.NewBackOff with the same bounds and spread, daemon.Execute, standin.Table with a clock, Service.update with a plan; chains and hashes are computed once. Which endpoint holds a shared part changes with the hash, by the same law. Tests keep their assertions; calls of Sent lost an argument. Ruled out: the pauses of httpcall, which grow by another factor; the Slots of a registration, whose type is checked.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -152,13 +152,3 @@
 	slices.SortFunc(out, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
-
-// All returns all endpoints in order of id.
-func (c *Catalog) All() []Endpoint {
-	out := make([]Endpoint, 0, len(c.entries))
-	for _, e := range c.entries {
-		out = append(out, e.endpoint)
-	}
-	slices.SortFunc(out, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
-	return out
-}
--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -46,29 +46,13 @@
 	output := daemon.NewAsyncWriter(os.Stdout)
 	logger := slog.New(slog.NewJSONHandler(output, nil))
 	slog.SetDefault(logger)
-	code := start(port, check, logger)
+	start := func(set platform.Settings, logger *slog.Logger) error { return run(set, port, logger) }
+	code := daemon.Execute(name, check, platform.LoadSettings, start, logger)
 	output.Close()
 	os.Exit(code)
 }
 
-func start(port int, check bool, logger *slog.Logger) int {
-	set, err := platform.LoadSettings()
-	if err != nil {
-		logger.Error("settings refused", "error", err.Error())
-		return daemon.ExitSettings
-	}
-	if check {
-		logger.Info("settings are valid")
-		return daemon.ExitOK
-	}
-	if err := run(set, port, logger); err != nil {
-		logger.Error("process failed", "error", err.Error())
-		return daemon.ExitFailure
-	}
-	return daemon.ExitOK
-}
-
-func run(set *platform.Settings, port int, logger *slog.Logger) error {
+func run(set platform.Settings, port int, logger *slog.Logger) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,20 +67,27 @@
 // runs the process with them.
 func Main[T any](name, description string, load func(path string) (*T, error), run func(T, *slog.Logger) error) {
 	flags := ParseFlags(name, description)
-	logger := flags.Logger()
-	set, err := load(flags.Settings)
+	loadFlagged := func() (*T, error) { return load(flags.Settings) }
+	os.Exit(Execute(name, flags.Check, loadFlagged, run, flags.Logger()))
+}
+
+// Execute loads and checks the settings, runs the process with them unless they
+// are only to be checked, and returns the exit code.
+func Execute[T any](name string, check bool, load func() (*T, error), run func(T, *slog.Logger) error, logger *slog.Logger) int {
+	set, err := load()
 	if err != nil {
 		logger.Error("settings refused", "error", err)
-		os.Exit(ExitSettings)
+		return ExitSettings
 	}
-	if flags.Check {
+	if check {
 		logger.Info("settings are valid")
-		return
+		return ExitOK
 	}
 	if err := run(*set, logger); err != nil {
 		logger.Error("process failed", "process", name, "error", err)
-		os.Exit(ExitFailure)
+		return ExitFailure
 	}
+	return ExitOK
 }
 
 // Signals returns two contexts: the first ends with the first SIGTERM or
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -153,7 +153,7 @@
 		Workspace:   x.workspace,
 		Remaining:   time.Until(x.deadline),
 		Rank:        x.rank,
-		LastEventID: x.resumeAfter(),
+		LastEventID: x.lastEvent,
 	})
 	return req, nil
 }
--- a/direct/credit_test.go
+++ b/direct/credit_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"jackdawswitch/prepaid"
+	"jackdawswitch/standin"
 )
 
 // spentAndReserved returns the workspace's account at the router.
@@ -60,7 +61,7 @@
 func TestWithoutTheTableRequestsBeyondTheGrantComeBackLater(t *testing.T) {
 	g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) { stream(w, 1, 1) })
 	g.awaitGrant()
-	g.table.setDown(true)
+	g.table.SetFaults(standin.Faults{Down: true})
 	served, refused := 0, 0
 	for range 60 {
 		got := g.send(http.MethodPost, "/stream/a", "x", "T-Prompt", "1000", "T-Output", "50")
--- a/direct/declaration.go
+++ b/direct/declaration.go
@@ -66,7 +66,6 @@
 // table is a declaration prepared for lookups. It is immutable.
 type table struct {
 	version  uint64
-	received time.Time
 	hosts    map[string][]Route
 	services map[string]Service
 	keyring  *secure.Keyring
@@ -78,10 +77,9 @@
 	limits  Limits
 }
 
-func newTable(d Declaration, now time.Time) *table {
+func newTable(d Declaration) *table {
 	t := &table{
 		version:  d.Version,
-		received: now,
 		hosts:    make(map[string][]Route),
 		services: d.Services,
 		keyring:  secure.NewKeyring(d.Document),
--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -89,7 +89,7 @@
 	for _, u := range usable {
 		list = append(list, routing.PromptEndpoint{
 			ID: u.ID, Service: u.Service, Address: u.Address, FailureDomain: u.FailureDomain,
-			Incarnation: u.Started, Slots: u.Slots,
+			Incarnation: u.Started,
 		})
 	}
 	e.picker.SetEndpoints(list)
@@ -109,7 +109,7 @@
 	now := time.Now()
 	choice, err := e.picker.Pick(now, q)
 	if err == nil {
-		e.picker.Sent(now, choice, q)
+		e.picker.Sent(now, choice)
 	}
 	return choice, err
 }
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -46,9 +46,6 @@
 	ran      bool
 }
 
-// resumeAfter is the event after which the answer goes on, empty for its start.
-func (x *exchange) resumeAfter() string { return x.lastEvent }
-
 // query asks the picker for an endpoint.
 func (x *exchange) query() routing.PromptQuery {
 	return routing.PromptQuery{
--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -19,7 +19,7 @@
 	"jackdawswitch/config"
 	"jackdawswitch/refusal"
 	"jackdawswitch/secure"
-	"jackdawswitch/storage"
+	"jackdawswitch/standin"
 )
 
 // testProtocol spells the headers in a way of its own.
@@ -62,61 +62,12 @@
 
 func (testProtocol) RefusalHeaders(h http.Header, id string) { h.Set("T-Id", id) }
 
-// memoryTable is a table that works, or doesn't.
-type memoryTable struct {
-	mu      sync.Mutex
-	rows    map[string]storage.Row
-	version uint64
-	down    bool
-}
-
-func (m *memoryTable) setDown(down bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.down = down
-}
-
-func (m *memoryTable) Commit(_ context.Context, txn storage.Transaction) (storage.Commit, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return storage.Commit{}, &storage.Error{Op: "commit", Kind: storage.KindUnavailable, Outcome: storage.OutcomeNotDone}
-	}
-	for _, c := range txn.Conditions {
-		if m.rows[c.Key].Version != c.Version {
-			return storage.Commit{}, &storage.Error{Op: "commit", Kind: storage.KindConflict, Outcome: storage.OutcomeNotDone}
-		}
-	}
-	m.version++
-	for _, p := range txn.Puts {
-		m.rows[p.Key] = storage.Row{Key: p.Key, Value: p.Value, Version: m.version}
-	}
-	return storage.Commit{Version: m.version}, nil
-}
-
-func (m *memoryTable) Get(_ context.Context, keys ...string) ([]storage.Row, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.down {
-		return nil, &storage.Error{Op: "get", Kind: storage.KindUnavailable}
-	}
-	var out []storage.Row
-	for _, key := range keys {
-		if r, ok := m.rows[key]; ok {
-			out = append(out, r)
-		}
-	}
-	return out, nil
-}
-
-func (m *memoryTable) Now() (int64, bool) { return time.Now().UnixMilli(), true }
-
 // rig is a router before fake endpoints.
 type rig struct {
 	t       *testing.T
 	router  *Router
 	server  *httptest.Server
-	table   *memoryTable
+	table   *standin.Table
 	handler func(w http.ResponseWriter, r *http.Request)
 
 	mu   sync.Mutex
@@ -150,7 +101,7 @@
 // newRig starts a router and n endpoints, which answer by handler.
 func newRig(t *testing.T, n int, handler func(w http.ResponseWriter, r *http.Request)) *rig {
 	t.Helper()
-	g := &rig{t: t, table: &memoryTable{rows: make(map[string]storage.Row)}, handler: handler}
+	g := &rig{t: t, table: standin.NewTable(), handler: handler}
 	g.router = New(Options{
 		Settings: Settings{VM: "vm", FailureDomain: "fd", RetryShare: 0.2}, Incarnation: 7,
 		Protocol: testProtocol{}, Table: g.table, Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
@@ -158,7 +109,7 @@
 	var list []catalog.Endpoint
 	for i := range n {
 		id := "e" + strconv.Itoa(i)
-		list = append(list, catalog.Endpoint{ID: id, Service: "s", Address: g.endpoint(id), Slots: 4})
+		list = append(list, catalog.Endpoint{ID: id, Service: "s", Address: g.endpoint(id)})
 	}
 	g.router.ResetEndpoints(list)
 	g.router.Declare(testDeclaration())
--- a/direct/progress.go
+++ b/direct/progress.go
@@ -11,8 +11,7 @@
 // exchange.chart.json holds the moves between them: it alone says when a
 // request may be sent once more, and when "not run" is true.
 const (
-	stateUnsent  = "unsent"
-	stateRefused = "refused"
+	stateUnsent = "unsent"
 )
 
 // The events of an exchange.
--- a/direct/router.go
+++ b/direct/router.go
@@ -96,7 +96,7 @@
 		}
 		return
 	}
-	next := newTable(d, time.Now())
+	next := newTable(d)
 	r.credit.SetBudgets(next.budgets)
 	r.table.Store(next)
 	r.logger.Info("configuration in force", "config_version", d.Version, "routes", len(d.Routes),
--- a/membership/placement.go
+++ b/membership/placement.go
@@ -5,24 +5,11 @@
 	"slices"
 	"strconv"
 
-	"github.com/zeebo/xxh3"
+	"jackdawswitch/rendezvous"
 )
 
-func hashMember(vm string) uint64 { return xxh3.HashString(vm) }
-
-// score is the weight of a member for a key: the member with the highest score
-// holds the key.
-func score(key, member uint64) uint64 {
-	x := key ^ member
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 func partitionKey(workspace string, partition uint32) uint64 {
-	return xxh3.HashString(workspace + "/" + strconv.FormatUint(uint64(partition), 10))
+	return rendezvous.Hash(workspace + "/" + strconv.FormatUint(uint64(partition), 10))
 }
 
 // Home returns the router of the own region that is the home of a partition:
@@ -36,7 +23,7 @@
 		if !v.mayBeHome(rec) {
 			continue
 		}
-		s := score(key, rec.hash)
+		s := rendezvous.Score(key, rec.hash)
 		if best == nil || s > bestScore {
 			best, bestScore = rec, s
 		}
@@ -58,7 +45,7 @@
 		}
 	}
 	slices.SortFunc(recs, func(a, b *record) int {
-		return cmp.Compare(score(key, b.hash), score(key, a.hash))
+		return cmp.Compare(rendezvous.Score(key, b.hash), rendezvous.Score(key, a.hash))
 	})
 	members := make([]Member, 0, n)
 	for _, rec := range recs[:min(n, len(recs))] {
--- a/membership/register.go
+++ b/membership/register.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"jackdawswitch/config"
+	"jackdawswitch/rendezvous"
 )
 
 // DefaultReporters is the smallest number of routers of its region that an
@@ -116,9 +115,9 @@
 			recs = append(recs, rec)
 		}
 	}
-	key := xxh3.HashString(endpoint)
+	key := rendezvous.Hash(endpoint)
 	slices.SortFunc(recs, func(a, b *record) int {
-		return cmp.Compare(score(key, b.hash), score(key, a.hash))
+		return cmp.Compare(rendezvous.Score(key, b.hash), rendezvous.Score(key, a.hash))
 	})
 	if e := v.endpoints[endpoint]; e != nil {
 		recs = recs[:v.reporterCount(serviceRegion{e.Service, e.Region}, len(recs))]
@@ -161,7 +160,7 @@
 		if m.Address == "" || rec.listed == listedAbsent {
 			continue
 		}
-		if best == nil || score(key, rec.hash) > score(key, best.hash) {
+		if best == nil || rendezvous.Score(key, rec.hash) > rendezvous.Score(key, best.hash) {
 			best = rec
 		}
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -7,6 +7,7 @@
 
 	"jackdawswitch/config"
 	"jackdawswitch/invariant"
+	"jackdawswitch/rendezvous"
 )
 
 const (
@@ -191,7 +192,7 @@
 func (v *View) record(vm string) *record {
 	rec := v.records[vm]
 	if rec == nil {
-		rec = &record{hash: hashMember(vm), listed: listedNever}
+		rec = &record{hash: rendezvous.Hash(vm), listed: listedNever}
 		rec.member.ID = processID(vm, 0)
 		v.records[vm] = rec
 	}
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/uber-go/tally/v4"
 
 	"jackdawswitch/storage"
@@ -67,7 +67,7 @@
 	mu      sync.Mutex
 	book    *Book
 	busy    map[string]bool
-	pauses  map[string]pause
+	pauses  map[string]*pause
 	changed chan struct{}
 	writes  int64
 	kick    chan struct{}
@@ -77,13 +77,22 @@
 	stating      bool
 	statingSince time.Time
 	away         bool
-	state        pause
+	state        *pause
 }
 
-// pause holds back the calls for an account after a failure.
+// pause holds back calls after a failure.
 type pause struct {
-	until  time.Time
-	length time.Duration
+	until time.Time
+	next  *backoff.ExponentialBackOff
+}
+
+func newPause() *pause { return &pause{next: storage.NewBackOff(retryPause, maxRetryPause)} }
+
+// extend starts the next pause and returns its length.
+func (p *pause) extend() time.Duration {
+	length := p.next.NextBackOff()
+	p.until = time.Now().Add(length)
+	return length
 }
 
 // NewService returns a service that does nothing until Run.
@@ -92,7 +101,8 @@
 		opts:    opts,
 		book:    NewBook(opts.VM, opts.Incarnation, opts.Policy),
 		busy:    make(map[string]bool),
-		pauses:  make(map[string]pause),
+		pauses:  make(map[string]*pause),
+		state:   newPause(),
 		changed: make(chan struct{}),
 		kick:    make(chan struct{}, 1),
 	}
@@ -200,13 +210,12 @@
 		if len(s.busy) >= maxConcurrent {
 			return
 		}
-		if s.busy[workspace] || now.Before(s.pauses[workspace].until) {
+		if p := s.pauses[workspace]; s.busy[workspace] || p != nil && now.Before(p.until) {
 			continue
 		}
 		s.busy[workspace] = true
 		s.tasks.Go(func() {
-			err := s.refill(ctx, workspace)
-			s.finish(workspace, err)
+			s.finish(workspace, s.update(ctx, workspace, s.book.Plan))
 		})
 	}
 }
@@ -292,12 +301,11 @@
 		if s.away {
 			s.opts.Logger.Info("dependency regained", "dependency", "statements")
 		}
-		s.away, s.state = false, pause{}
+		s.away, s.state = false, newPause()
 		s.notify()
 		return
 	}
-	s.state.length = min(max(2*s.state.length, retryPause), maxRetryPause)
-	s.state.until = time.Now().Add(s.state.length/2 + rand.N(s.state.length))
+	s.state.extend()
 	if !s.away && !storage.IsKind(err, storage.KindConflict) {
 		s.opts.Logger.Warn("dependency lost", "dependency", "statements", "error", err.Error())
 		s.away = true
@@ -315,14 +323,17 @@
 	return s.opts.VM + "-" + strconv.FormatInt(s.opts.Incarnation, 10) + "-" + kind + strconv.FormatInt(n, 10)
 }
 
-// refill reads an account and writes what the book plans.
-func (s *Service) refill(ctx context.Context, workspace string) error {
+// plan is a plan of the book for an account that was just read.
+type plan func(now time.Time, workspace string, row Row, version uint64) *Write
+
+// update reads an account and writes what is planned for it.
+func (s *Service) update(ctx context.Context, workspace string, plan plan) error {
 	row, version, err := s.read(ctx, workspace)
 	if err != nil {
 		return err
 	}
 	s.mu.Lock()
-	write := s.book.Plan(time.Now(), workspace, row, version)
+	write := plan(time.Now(), workspace, row, version)
 	s.mu.Unlock()
 	if write == nil {
 		return nil
@@ -382,16 +393,18 @@
 		return
 	}
 	p := s.pauses[workspace]
-	p.length = min(max(2*p.length, retryPause), maxRetryPause)
-	p.until = time.Now().Add(p.length/2 + rand.N(p.length))
-	s.pauses[workspace] = p
+	if p == nil {
+		p = newPause()
+		s.pauses[workspace] = p
+	}
+	length := p.extend()
 	s.opts.Metrics.Counter("grants_failed").Inc(1)
 	level := slog.LevelWarn
 	if storage.IsKind(err, storage.KindConflict) {
 		// Another router wrote the account first.
 		level = slog.LevelDebug
 	}
-	s.opts.Logger.Log(context.Background(), level, "grant not refilled", "workspace", workspace, "retry_in", p.length.String(), "error", err.Error())
+	s.opts.Logger.Log(context.Background(), level, "grant not refilled", "workspace", workspace, "retry_in", length.String(), "error", err.Error())
 }
 
 // Leave hands back what is unspent, as far as ctx allows. No request may be
@@ -402,7 +415,7 @@
 	s.mu.Unlock()
 	for _, workspace := range held {
 		for ctx.Err() == nil {
-			err := s.handBack(ctx, workspace)
+			err := s.update(ctx, workspace, s.book.PlanLeave)
 			if err == nil {
 				break
 			}
@@ -414,17 +427,3 @@
 		}
 	}
 }
-
-func (s *Service) handBack(ctx context.Context, workspace string) error {
-	row, version, err := s.read(ctx, workspace)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	write := s.book.PlanLeave(time.Now(), workspace, row, version)
-	s.mu.Unlock()
-	if write == nil {
-		return nil
-	}
-	return s.commit(ctx, write)
-}
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -86,8 +86,6 @@
 	statement Statement
 	// made is when it was made, by the process's own clock.
 	made time.Time
-	// version is the version that the row had to have.
-	version uint64
 }
 
 func (i *issued) allowed(now time.Time, workspace string) int64 {
@@ -101,7 +99,7 @@
 const (
 	// rateHeadroom is the factor by which spending may exceed its mean rate in a
 	// partition. More serves bursts there, and loses as much of the budget when
-	// the process dies and is away for longer than accrualDelay.
+	// the process dies and is away for longer than the entry's delay.
 	rateHeadroom = 1.25
 
 	// burstTime is the spending that one statement allows at once, if the budget
@@ -262,7 +260,7 @@
 			s.Entries[workspace] = b.entry(now, a)
 		}
 	}
-	b.pending = append(b.pending, &issued{statement: s, made: now, version: b.version})
+	b.pending = append(b.pending, &issued{statement: s, made: now})
 	return s, b.version
 }
 
--- a/prepaid/view.go
+++ b/prepaid/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -39,12 +40,7 @@
 			Ungranted: a.ungranted(), Rate: max(a.short, a.long), Version: a.version, Unresolved: a.unresolved,
 		})
 	}
-	slices.SortFunc(out, func(x, y View) int {
-		if x.Workspace < y.Workspace {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(x, y View) int { return strings.Compare(x.Workspace, y.Workspace) })
 	return out
 }
 
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -4,9 +4,11 @@
 	"hash/fnv"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"jackdawswitch/refusal"
+	"jackdawswitch/rendezvous"
 )
 
 const (
@@ -54,7 +56,6 @@
 	Address       string
 	FailureDomain string
 	Incarnation   int64
-	Slots         int
 }
 
 // PromptQuery asks for an endpoint.
@@ -81,11 +82,16 @@
 	ReportedAge time.Duration
 	// Candidates is the number of endpoints that were weighed.
 	Candidates int
+
+	// chains are the hashes of the query's shared parts.
+	chains []uint64
 }
 
 // target is what a PromptPicker knows of one endpoint.
 type target struct {
-	endpoint    PromptEndpoint
+	endpoint PromptEndpoint
+	// hash is that of the endpoint's id.
+	hash        uint64
 	open        int
 	unread      int64
 	reported    float64
@@ -122,7 +128,7 @@
 	for _, e := range endpoints {
 		t := p.targets[e.ID]
 		if t == nil || t.endpoint.Incarnation != e.Incarnation || t.endpoint.Address != e.Address {
-			t = &target{cached: make(map[uint64]time.Time)}
+			t = &target{hash: rendezvous.Hash(e.ID), cached: make(map[uint64]time.Time)}
 		}
 		t.endpoint = e
 		next[e.ID] = t
@@ -155,7 +161,7 @@
 	if best == nil {
 		return PromptChoice{}, refusal.NotRun(refusal.CauseNoEndpoint, "service %s", q.Service).After(p.earliest(now, q.Service))
 	}
-	choice.Candidates = candidates
+	choice.Candidates, choice.chains = candidates, chains
 	return choice, nil
 }
 
@@ -245,34 +251,22 @@
 	var best *target
 	var highest uint64
 	for _, t := range p.services[service] {
-		if score := rendezvous(chains[len(chains)-1], t.endpoint.ID); best == nil || score > highest {
+		if score := rendezvous.Score(chains[len(chains)-1], t.hash); best == nil || score > highest {
 			best, highest = t, score
 		}
 	}
 	return best
 }
 
-func rendezvous(chain uint64, id string) uint64 {
-	hash := fnv.New64a()
-	_, _ = hash.Write([]byte(id))
-	// A finalizer spreads the sum: the last bytes of FNV mix too little.
-	x := hash.Sum64() ^ chain
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 // Sent notes that a request was sent to an endpoint.
-func (p *PromptPicker) Sent(now time.Time, choice PromptChoice, q PromptQuery) {
+func (p *PromptPicker) Sent(now time.Time, choice PromptChoice) {
 	t := p.targets[choice.Endpoint.ID]
 	if t == nil {
 		return
 	}
 	t.open++
 	t.unread += choice.Unread
-	for _, chain := range chainHashes(q.Parts) {
+	for _, chain := range choice.chains {
 		t.cached[chain] = now
 	}
 	if len(t.cached) > maxParts {
@@ -367,11 +361,6 @@
 			Unread: t.unread, Parts: len(t.cached), Failures: t.failures,
 		})
 	}
-	slices.SortFunc(out, func(a, b PromptView) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b PromptView) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
--- a/routing/prompt_test.go
+++ b/routing/prompt_test.go
@@ -12,7 +12,7 @@
 	p := routing.NewPromptPicker("fd")
 	var list []routing.PromptEndpoint
 	for i := range n {
-		list = append(list, routing.PromptEndpoint{ID: fmt.Sprintf("e%03d", i), Service: "s", FailureDomain: "fd", Slots: 64})
+		list = append(list, routing.PromptEndpoint{ID: fmt.Sprintf("e%03d", i), Service: "s", FailureDomain: "fd"})
 	}
 	p.SetEndpoints(list)
 	return p
@@ -40,7 +40,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p.Sent(start, choice, chat(c, i))
+		p.Sent(start, choice)
 		p.Read(choice)
 		p.Finished(choice, true)
 		if at[c] == nil {
@@ -67,7 +67,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p.Sent(start, choice, chat(1, i))
+		p.Sent(start, choice)
 		sent[choice.Endpoint.ID]++
 	}
 	for id, n := range sent {
@@ -108,7 +108,7 @@
 func TestARestartedEndpointStartsWithoutLoadAndParts(t *testing.T) {
 	p := prompts(1)
 	choice, _ := p.Pick(start, chat(1, 1))
-	p.Sent(start, choice, chat(1, 1))
+	p.Sent(start, choice)
 	p.SetEndpoints([]routing.PromptEndpoint{{ID: "e000", Service: "s", Incarnation: 2}})
 	if view := p.View()[0]; view.Open != 0 || view.Unread != 0 || view.Parts != 0 {
 		t.Fatalf("%+v", view)
@@ -128,7 +128,7 @@
 			for i := range b.N {
 				q := chat(i%100, i)
 				choice, _ := p.Pick(start, q)
-				p.Sent(start, choice, q)
+				p.Sent(start, choice)
 				p.Finished(choice, false)
 			}
 		})
--- a/standin/table.go
+++ b/standin/table.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"jackdawswitch/storage"
 )
@@ -48,6 +49,9 @@
 	return t.stats
 }
 
+// Now is the table's steady clock in milliseconds.
+func (t *Table) Now() (ms int64, ok bool) { return time.Now().UnixMilli(), true }
+
 // Commit implements storage.Table.
 func (t *Table) Commit(ctx context.Context, txn storage.Transaction) (storage.Commit, error) {
 	const op = "table.commit"
