Stop requests that crash endpoints on every router

Cause: the router without agents sent such a request on each time it came again; only the retries of one exchange were bounded. Callers send it under a new id, to any router, and each run took an endpoint away from others.

Change: a router notes each attempt that an endpoint broke off, by a fingerprint of workspace, path, query and body, in a row of its own that the others follow. After three without an answer in between the request is refused as not run, with the end of the quarantine as Retry-After. The fingerprint is computed only once something broke off, as bodies are large.

Ruled out: counting distinct endpoints, as the product's homes do: an endpoint that crashed is back under its id, and the new test ran a fourth time; a row a request, which costs two calls for each request of a crashed endpoint.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -78,6 +78,8 @@
 	body []byte
 	// stream is the open body of a stream.
 	stream io.ReadCloser
+	// crashed is set when the endpoint broke off while it may have run the request.
+	crashed bool
 	// promptRead is set once the endpoint has begun to answer.
 	promptRead bool
 }
@@ -114,10 +116,10 @@
 	case !sent:
 		a.outcome, a.err = outcomeNotSent, errors.WithStack(err)
 	default:
-		a.outcome, a.err = outcomeBroken, errors.WithStack(err)
+		a.outcome, a.err, a.crashed = outcomeBroken, errors.WithStack(err), true
 	}
 	if ctx.Err() != nil && (a.outcome == outcomeNotSent || a.outcome == outcomeBroken) {
-		a.outcome = outcomeCancelled
+		a.outcome, a.crashed = outcomeCancelled, false
 		if !sent {
 			a.outcome = outcomeNotSent
 		}
@@ -197,7 +199,8 @@
 		err = &AnswerError{Problem: "the answer is too large"}
 	}
 	if err != nil {
-		a.outcome, a.err = outcomeBroken, errors.WithStack(&AnswerError{Problem: "the answer broke off", Cause: err})
+		a.outcome, a.crashed = outcomeBroken, true
+		a.err = errors.WithStack(&AnswerError{Problem: "the answer broke off", Cause: err})
 		return
 	}
 	a.body = data
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -29,11 +29,16 @@
 	rank      int
 	body      []byte
 
+	// print is the request's fingerprint, empty until it is needed.
+	print string
+
 	progress progress
 	// sends counts the attempts that may have run.
 	sends    int
 	excluded []string
 	last     *attempt
+	// quarantined is set when the request crashed too many endpoints.
+	quarantined bool
 
 	// headSent is set when the head of the answer has gone to the caller.
 	headSent bool
@@ -70,6 +75,7 @@
 		}
 		x.router.attemptEnded(choice, a)
 		x.logAttempt(a)
+		x.quarantined = x.noteCrash(a).Quarantined()
 		if done, err := x.conclude(ctx, a); done {
 			return err
 		}
@@ -118,6 +124,9 @@
 // maySendAgain reports whether the limits allow another attempt. Whether the
 // request itself allows it is the chart's to say.
 func (x *exchange) maySendAgain(a *attempt) bool {
+	if x.quarantined {
+		return false
+	}
 	if a.outcome == outcomeNotSent {
 		return len(x.excluded) < maxUnreached
 	}
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -30,6 +30,10 @@
 // not run is only given when that is known.
 func statusOf(r *refusal.Error) int {
 	status := refusal.Status(r.Cause)
+	if r.Cause == refusal.CauseQuarantined {
+		// Callers here know a promise by few statuses, 422 is none of them.
+		status = http.StatusServiceUnavailable
+	}
 	if promises[status] && r.RunState != pb.RunState_RUN_STATE_NOT_RUN {
 		return http.StatusBadGateway
 	}
--- a/direct/relay.go
+++ b/direct/relay.go
@@ -65,10 +65,11 @@
 		}
 	}
 	if err := scanner.Err(); err != nil && a.err == nil {
-		a.outcome, a.err = outcomeBroken, errors.WithStack(&AnswerError{Problem: "the stream broke off", Cause: err})
+		a.outcome, a.crashed = outcomeBroken, true
+		a.err = errors.WithStack(&AnswerError{Problem: "the stream broke off", Cause: err})
 	}
 	if ctx.Err() != nil && a.outcome == outcomeBroken {
-		a.outcome = outcomeCancelled
+		a.outcome, a.crashed = outcomeCancelled, false
 	}
 	if a.outcome == outcomeAnswered {
 		x.sendHead(a)
--- a/direct/router.go
+++ b/direct/router.go
@@ -65,14 +65,16 @@
 	transport *http.Transport
 	credit    *prepaid.Service
 	retries   *retryBudgets
-	table     atomic.Pointer[table]
-	draining  atomic.Bool
-	declaring sync.Mutex
+	// quarantine keeps requests that crash endpoints from running again.
+	quarantine *quarantine
+	table      atomic.Pointer[table]
+	draining   atomic.Bool
+	declaring  sync.Mutex
 }
 
 // New returns a router that does nothing until Run.
 func New(opts Options) *Router {
-	return &Router{
+	r := &Router{
 		endpoints: newEndpoints(opts.Settings.FailureDomain, opts.Logger),
 		opts:      opts,
 		logger:    opts.Logger,
@@ -84,6 +86,8 @@
 			Table: opts.Table, Logger: opts.Logger, Metrics: opts.Metrics,
 		}),
 	}
+	r.quarantine = &quarantine{crashBook: newCrashBook(), router: r}
+	return r
 }
 
 // Declare puts a configuration in force, unless a newer one is.
@@ -131,6 +135,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.credit.Run(work) })
 	tasks.Go(func() { r.keepHouse(work) })
+	tasks.Go(func() { r.quarantine.run(work) })
 	select {
 	case err = <-failed:
 		r.logger.Error("listener failed", "error", err.Error())
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -140,6 +140,9 @@
 // admit reserves the prepaid tokens that the request may use at its most.
 func (x *exchange) admit(ctx context.Context) error {
 	r := x.router
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	r.retries.request(x.service)
 	if err := x.control().SetWriteDeadline(x.deadline.Add(writeSlack)); err != nil {
 		return refusal.NotRun(refusal.CauseInternal, "no write deadline").Wrap(err)
