--- a/direct/quarantine_test.go
+++ b/direct/quarantine_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"jackdawswitch/fuzzseed"
 )
 
 // poison is a body that crashes endpoints.
@@ -150,3 +152,22 @@
 		t.Fatal("notes were taken")
 	}
 }
+
+func FuzzDecodeCrashRow(f *testing.F) {
+	sample := `{"notes":[{"request":"ab","attempt":"r/e","endpoint":"e","atMs":17},{"request":"cd","attempt":"q/e","atMs":18}]}`
+	for _, input := range fuzzseed.From([]byte(sample)) {
+		f.Add(input)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		row, err := decodeCrashRow("vm", data)
+		if err != nil {
+			return
+		}
+		b := newCrashBook()
+		b.learn(row.Notes, true)
+		b.expire(0)
+		if got, _ := b.row(); len(got.Notes) > maxCrashNotes {
+			t.Fatalf("%d notes", len(got.Notes))
+		}
+	})
+}
--- a/prepaid/row.go
+++ b/prepaid/row.go
@@ -54,6 +54,21 @@
 	return out
 }
 
+// maxTokens bounds every figure of a row, so that no sum over holders overflows.
+// It is far above any budget: 10,000 requests a second of 10,000 tokens use it up
+// in a month.
+const maxTokens = 1 << 48
+
+// plausible reports whether all figures are numbers of tokens.
+func plausible(figures ...int64) bool {
+	for _, figure := range figures {
+		if figure < 0 || figure > maxTokens {
+			return false
+		}
+	}
+	return true
+}
+
 // RowError tells that an account's row can't be used.
 type RowError struct {
 	Workspace string
@@ -79,11 +94,11 @@
 	if err := json.Unmarshal(data, &row); err != nil {
 		return Row{}, errors.WithStack(&RowError{Workspace: workspace, Problem: "can't be read", Cause: err})
 	}
-	if row.Retired < 0 {
-		return Row{}, errors.WithStack(&RowError{Workspace: workspace, Problem: "retired is below 0"})
+	if !plausible(row.Retired) {
+		return Row{}, errors.WithStack(&RowError{Workspace: workspace, Problem: "retired is not possible"})
 	}
 	for vm, g := range row.Grants {
-		if g.Amount < 0 || g.Spent < 0 || g.Spent > g.Amount {
+		if !plausible(g.Amount, g.Spent) || g.Spent > g.Amount {
 			return Row{}, errors.WithStack(&RowError{Workspace: workspace, Problem: "grant of " + vm + " is not possible"})
 		}
 	}
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -50,7 +50,7 @@
 		return s, errors.WithStack(&RowError{Workspace: vm, Problem: "statement can't be read", Cause: err})
 	}
 	for workspace, e := range s.Entries {
-		if e.Base < 0 || e.Burst < 0 || e.Rate < 0 || e.Delay < 0 {
+		if !plausible(e.Base, e.Burst, e.Rate, e.Delay) {
 			return s, errors.WithStack(&RowError{Workspace: workspace, Problem: "statement of " + vm + " is not possible"})
 		}
 	}
