Log budget and retired tokens with each grant

Cause: from the log alone it could not be told how much of a budget had been retired for processes that died.

Change: both figures stand in the line of each grant.

Ruled out: a metric for each workspace, whose number isn't bounded.

--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -378,7 +378,7 @@
 	account := s.book.Describe(time.Now(), write.Workspace)
 	s.opts.Logger.Info("grant written", "workspace", write.Workspace, "version", done.Version,
 		"amount", write.amount, "unspent", account.Unspent, "ungranted", account.Ungranted,
-		"fleet_spent", write.Row.spent(), "tokens_per_s", int64(account.Rate))
+		"budget", account.Budget, "retired", write.Row.Retired, "fleet_spent", write.Row.spent(), "tokens_per_s", int64(account.Rate))
 	return nil
 }
 
--- a/prepaid/view.go
+++ b/prepaid/view.go
@@ -51,13 +51,15 @@
 		return Description{}
 	}
 	return Description{
-		Available: b.available(now, workspace, a), Unspent: a.unspent(), Ungranted: a.ungranted(),
+		Budget: a.budget, Available: b.available(now, workspace, a), Unspent: a.unspent(), Ungranted: a.ungranted(),
 		Age: now.Sub(a.readAt), StatementAge: b.statementAge(now), Rate: a.rate(now),
 	}
 }
 
 // Description is what a log line tells of one account.
 type Description struct {
+	// Budget is the whole prepaid budget.
+	Budget int64
 	// Available is what may be spent now, Unspent what is left of the grant and
 	// Ungranted what is left of the budget, as of Age ago.
 	Available, Unspent, Ungranted int64
