Try a hand-back again that lost a race for the account

Cause: a router that hands part of a grant back may not spend that part while the write is under way. When another router wrote first, the write was not done, but the part stayed unusable, and with nothing left to spend the account was never read again: the grant was out of everybody's reach for the rest of the process.

Change: an account whose write was not done is read again. The same for an idle grant of which nothing was spent.

Ruled out: an account left out by the limit on concurrent writes (the holder wrote others all the time); a lost answer (that is marked as unresolved).

Both tests fail without the change.

--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -92,6 +92,9 @@
 	// on version unresolvedAt.
 	unresolved   bool
 	unresolvedAt uint64
+	// stale is set when a write was not done: the row has to be read again, as
+	// what it was to hand back may not be spent before.
+	stale bool
 	// short and long are the means of the spending in tokens a second, as of
 	// rateAt. An account is warm once its rate was observed.
 	short, long float64
--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -186,7 +186,7 @@
 		return nil
 	}
 	for workspace, a := range b.active {
-		if b.idle(now, a) && a.amount == 0 && a.spent == 0 && !a.unresolved {
+		if b.idle(now, a) && a.amount == 0 && a.spent == 0 && !a.unresolved && !a.stale {
 			delete(b.active, workspace)
 			continue
 		}
@@ -203,7 +203,7 @@
 }
 
 func (b *Book) needs(now time.Time, a *account) bool {
-	if !a.known || a.unresolved || b.idle(now, a) {
+	if !a.known || a.unresolved || a.stale || b.idle(now, a) {
 		return true
 	}
 	if a.wanted > a.unspent() {
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -696,3 +696,46 @@
 		t.Fatalf("%d were spent: %+v", spent, plan)
 	}
 }
+
+// TestAHandbackThatLostARaceIsTriedAgain: another router writes the account
+// between the read and the write. Without another try the grant would be out of
+// everybody's reach, as its holder has no request for it.
+func TestAHandbackThatLostARaceIsTriedAgain(t *testing.T) {
+	w, p := scarce()
+	write := p.book.Plan(w.now, workspace, w.account.row, w.account.version)
+	if write == nil {
+		t.Fatal("nothing is handed back")
+	}
+	p.book.Failed(write, true)
+	if needs := p.book.Needs(w.now); len(needs) != 1 {
+		t.Fatalf("the account is not read again: %v, %+v", needs, p.book.View())
+	}
+	w.keep("a")
+	if held := w.account.row.Grants["a"].Amount; held > write.Row.Grants["a"].Amount {
+		t.Fatalf("%d tokens are still held", held)
+	}
+}
+
+// TestAnIdleGrantThatLostARaceIsClosedLater is the same for a grant of which
+// nothing was spent, where there are many accounts.
+func TestAnIdleGrantThatLostARaceIsClosedLater(t *testing.T) {
+	policy := prepaid.DefaultPolicy()
+	policy.MaxEager, policy.IdleAfter = 0, 3*time.Second
+	w := newWorldWith(100_000, policy)
+	p := w.processes["a"]
+	p.book.Open(prepaid.Statement{}, 0, w.tableNow(), prepaid.Recalled{})
+	p.book.Reserve(w.now, workspace, 100)
+	for range 3 {
+		w.keep("a")
+	}
+	w.now = w.now.Add(4 * time.Second)
+	write := p.book.Plan(w.now, workspace, w.account.row, w.account.version)
+	if write == nil || len(write.Row.Grants) != 0 {
+		t.Fatalf("the grant is not closed: %+v", write)
+	}
+	p.book.Failed(write, true)
+	w.keep("a")
+	if len(w.account.row.Grants) != 0 {
+		t.Fatalf("the grant is still held: %+v", w.account.row)
+	}
+}
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -68,7 +68,7 @@
 	if !a.known {
 		a.knownAt = now
 	}
-	a.row, a.version, a.readAt, a.known = row, version, now, true
+	a.row, a.version, a.readAt, a.known, a.stale = row, version, now, true, false
 	if a.unresolved && version == a.unresolvedAt {
 		return
 	}
@@ -115,6 +115,7 @@
 func (b *Book) Failed(w *Write, notDone bool) {
 	a := b.accounts[w.Workspace]
 	if notDone {
+		a.stale = true
 		if w.closes {
 			a.closing = 0
 		}
