Tell other routers which prompts are under way

Cause: first tokens were late in calm spells because routers that don't know of each other sent long prompts to one endpoint at once. The load that endpoints tell with answers counts requests, and is 0.1 to 3 s old.

Change: a stream from each router to each other one tells its open requests and unread prompt tokens at an endpoint whenever they change. What was told ends with the stream or with silence.

Ruled out: a call for each change (four times the processor time); endpoints split among routers, which reads shared parts once a router.

--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -18,6 +18,10 @@
 	picker  *routing.PromptPicker
 	version uint64
 	listed  bool
+	// news are the routers that are told of changed loads; heard is when each
+	// router told of its own last.
+	news  map[*loadNews]struct{}
+	heard map[string]time.Time
 }
 
 func newEndpoints(failureDomain string, logger *slog.Logger) *endpoints {
@@ -25,6 +29,8 @@
 		logger:  logger,
 		catalog: catalog.New(),
 		picker:  routing.NewPromptPicker(failureDomain),
+		news:    make(map[*loadNews]struct{}),
+		heard:   make(map[string]time.Time),
 	}
 }
 
@@ -75,6 +81,7 @@
 	for _, endpoint := range e.catalog.Expire(time.Now()) {
 		e.logger.Info("endpoint dropped", "endpoint", endpoint.ID, "reason", "not listed again in time")
 	}
+	e.forgetSilent(time.Now())
 	e.publish()
 }
 
@@ -110,6 +117,7 @@
 	choice, err := e.picker.Pick(now, q)
 	if err == nil {
 		e.picker.Sent(now, choice)
+		e.loadChanged(choice.Endpoint.ID)
 	}
 	return choice, err
 }
@@ -119,6 +127,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.picker.Read(choice)
+	e.loadChanged(choice.Endpoint.ID)
 }
 
 // attemptEnded notes how an attempt ended.
@@ -128,6 +137,7 @@
 	now := time.Now()
 	e.picker.Finished(choice, a.promptRead)
 	id := choice.Endpoint.ID
+	e.loadChanged(id)
 	if a.answer.Load >= 0 {
 		e.picker.Reported(now, id, a.answer.Load)
 	}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -52,6 +52,8 @@
 	logger *slog.Logger
 	client *rpc.Client
 	memory *prepaid.Testimony
+	// loads takes what other routers have under way.
+	loads *endpoints
 	// leaving tells whether this process is about to stop.
 	leaving func() bool
 
@@ -60,13 +62,13 @@
 }
 
 var (
-	_ prepaid.Witnesses    = (*peers)(nil)
-	_ pb.DRPCWitnessServer = witnessServer{}
+	_ prepaid.Witnesses       = (*peers)(nil)
+	_ pb.DRPCRouterPeerServer = peerServer{}
 )
 
-func newPeers(self prepaid.Witness, network rpc.Network, leaving func() bool, logger *slog.Logger) *peers {
+func newPeers(self prepaid.Witness, network rpc.Network, loads *endpoints, leaving func() bool, logger *slog.Logger) *peers {
 	return &peers{
-		self: self, logger: logger, client: rpc.NewClient(network), memory: prepaid.NewTestimony(),
+		self: self, logger: logger, loads: loads, client: rpc.NewClient(network), memory: prepaid.NewTestimony(),
 		leaving: leaving, known: make(map[string]*peerRouter),
 	}
 }
@@ -106,6 +108,24 @@
 	return best.id, true
 }
 
+// list returns the addresses of all known routers.
+func (p *peers) list() map[prepaid.Witness]string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[prepaid.Witness]string, len(p.known))
+	for _, known := range p.known {
+		out[known.id] = known.address
+	}
+	return out
+}
+
+// count is the number of known routers.
+func (p *peers) count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known)
+}
+
 // address returns where a process is reached, empty if it is not known.
 func (p *peers) address(w prepaid.Witness) string {
 	p.mu.Lock()
@@ -161,19 +181,19 @@
 	return prepaid.Recalled{Heard: resp.GetKnown(), Limits: resp.GetLimits()}, nil
 }
 
-// witnessConn is a connection to a router that is closed after its call.
-type witnessConn struct {
-	pb.DRPCWitnessClient
+// peerConn is a connection to a router that is closed after its call.
+type peerConn struct {
+	pb.DRPCRouterPeerClient
 	Close func() error
 }
 
-func (p *peers) conn(ctx context.Context, w prepaid.Witness) (*witnessConn, error) {
+func (p *peers) conn(ctx context.Context, w prepaid.Witness) (*peerConn, error) {
 	address := p.address(w)
 	if address == "" {
 		return nil, &PeerError{VM: w.VM, Problem: "its address is not known"}
 	}
 	conn := p.client.Conn(ctx, address)
-	return &witnessConn{DRPCWitnessClient: pb.NewDRPCWitnessClient(conn), Close: conn.Close}, nil
+	return &peerConn{DRPCRouterPeerClient: pb.NewDRPCRouterPeerClient(conn), Close: conn.Close}, nil
 }
 
 func processID(w prepaid.Witness) *pb.ProcessId {
@@ -184,11 +204,11 @@
 	return prepaid.Witness{VM: id.GetVm(), Incarnation: int64(id.GetIncarnation())}
 }
 
-// witnessServer serves what other routers announce.
-type witnessServer struct{ *peers }
+// peerServer serves what other routers announce.
+type peerServer struct{ *peers }
 
-// Announce implements pb.DRPCWitnessServer.
-func (s witnessServer) Announce(_ context.Context, req *pb.AnnounceRequest) (*pb.AnnounceResponse, error) {
+// Announce implements pb.DRPCRouterPeerServer.
+func (s peerServer) Announce(_ context.Context, req *pb.AnnounceRequest) (*pb.AnnounceResponse, error) {
 	if fromProcessID(req.GetWitness()) != s.self {
 		return &pb.AnnounceResponse{}, nil
 	}
@@ -196,8 +216,8 @@
 	return &pb.AnnounceResponse{Accepted: true, Leaving: s.leaving()}, nil
 }
 
-// Recall implements pb.DRPCWitnessServer.
-func (s witnessServer) Recall(_ context.Context, req *pb.RecallRequest) (*pb.RecallResponse, error) {
+// Recall implements pb.DRPCRouterPeerServer.
+func (s peerServer) Recall(_ context.Context, req *pb.RecallRequest) (*pb.RecallResponse, error) {
 	if fromProcessID(req.GetWitness()) != s.self {
 		return &pb.RecallResponse{}, nil
 	}
--- a/direct/peers_test.go
+++ b/direct/peers_test.go
@@ -17,13 +17,13 @@
 // servePeer starts the peer part of a router on a host of the network.
 func servePeer(t *testing.T, network *memnet.Network, id prepaid.Witness, leaving *atomic.Bool) *peers {
 	t.Helper()
-	p := newPeers(id, network.Host(id.VM), leaving.Load, slog.New(slog.DiscardHandler))
+	p := newPeers(id, network.Host(id.VM), newEndpoints("fd", slog.New(slog.DiscardHandler)), leaving.Load, slog.New(slog.DiscardHandler))
 	listener, err := network.Host(id.VM).Listen(id.VM)
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := rpc.NewServer()
-	if err := pb.DRPCRegisterWitness(server.Mux(), witnessServer{p}); err != nil {
+	if err := pb.DRPCRegisterRouterPeer(server.Mux(), peerServer{p}); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/direct/router.go
+++ b/direct/router.go
@@ -88,7 +88,7 @@
 		retries:   newRetryBudgets(opts.Settings.RetryShare),
 	}
 	self := prepaid.Witness{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
-	r.peers = newPeers(self, opts.Network, r.draining.Load, opts.Logger)
+	r.peers = newPeers(self, opts.Network, r.endpoints, r.draining.Load, opts.Logger)
 	r.credit = prepaid.NewService(prepaid.Options{
 		VM: self.VM, Incarnation: self.Incarnation, Policy: prepaid.DefaultPolicy(),
 		Table: opts.Table, Witnesses: r.peers, Logger: opts.Logger, Metrics: opts.Metrics,
@@ -148,6 +148,7 @@
 	tasks.Go(func() { r.keepHouse(work) })
 	tasks.Go(func() { r.publish(work) })
 	tasks.Go(func() { r.servePeers(work, others) })
+	tasks.Go(func() { r.tellLoads(work) })
 	select {
 	case err = <-failed:
 		r.logger.Error("listener failed", "error", err.Error())
@@ -166,7 +167,7 @@
 // servePeers serves the other routers until ctx ends.
 func (r *Router) servePeers(ctx context.Context, listener net.Listener) {
 	server := rpc.NewServer()
-	err := pb.DRPCRegisterWitness(server.Mux(), witnessServer{r.peers})
+	err := pb.DRPCRegisterRouterPeer(server.Mux(), peerServer{r.peers})
 	if err == nil {
 		err = server.Serve(ctx, listener)
 	}
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -214,7 +214,7 @@
 	if x.last != nil {
 		c := x.last.choice
 		fields = append(fields, "endpoint", c.Endpoint.ID, "status", x.last.status, "open", c.Open,
-			"waiting_tokens", c.Waiting, "unread_tokens", c.Unread, "reported", c.Reported,
+			"waiting_tokens", c.Waiting, "peer_waiting_tokens", c.PeerWaiting, "unread_tokens", c.Unread, "reported", c.Reported,
 			"reported_age_ms", c.ReportedAge.Milliseconds(), "candidates", c.Candidates)
 	}
 	if err == nil {
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -74,8 +74,9 @@
 	Endpoint PromptEndpoint
 	// Unread is the prompt tokens that the endpoint has to read.
 	Unread int64
-	// Waiting is the unread tokens of requests that were sent there before.
-	Waiting int64
+	// Waiting is the unread tokens of requests that were sent there before,
+	// PeerWaiting those of other routers as far as told.
+	Waiting, PeerWaiting int64
 	// Open is the own requests open there, Reported the load it told last.
 	Open, Reported int
 	// ReportedAge is the age of Reported, 0 without a report.
@@ -99,6 +100,19 @@
 	cached      map[uint64]time.Time
 	failures    int
 	pausedUntil time.Time
+	// told is what other routers have under way there, peerUnread and peerOpen
+	// their sums.
+	told       map[string]PeerLoad
+	peerUnread int64
+	peerOpen   int
+}
+
+// PeerLoad is what one router has under way at an endpoint.
+type PeerLoad struct {
+	Endpoint string
+	// Open is its open requests, Unread their prompt tokens still to be read.
+	Open   int
+	Unread int64
 }
 
 // PromptPicker chooses endpoints for prompts whose parts are known, by the
@@ -152,7 +166,7 @@
 		cost := p.cost(now, t, unread)
 		if cost < lowest {
 			lowest, best = cost, t
-			choice = PromptChoice{Endpoint: t.endpoint, Unread: unread, Waiting: t.unread, Open: t.open, Reported: int(t.reported)}
+			choice = PromptChoice{Endpoint: t.endpoint, Unread: unread, Waiting: t.unread, PeerWaiting: t.peerUnread, Open: t.open, Reported: int(t.reported)}
 			if !t.reportedAt.IsZero() {
 				choice.ReportedAge = now.Sub(t.reportedAt)
 			}
@@ -197,7 +211,7 @@
 }
 
 func (p *PromptPicker) cost(now time.Time, t *target, unread int64) float64 {
-	cost := float64(t.unread) + openTokens*(float64(t.open)+t.others(now)) + readAgainFactor*float64(unread)
+	cost := float64(t.unread+t.peerUnread) + openTokens*(float64(t.open)+t.others(now)) + readAgainFactor*float64(unread)
 	if t.endpoint.FailureDomain != p.failureDomain {
 		cost += domainTokens
 	}
@@ -334,6 +348,56 @@
 	return pause
 }
 
+// OwnLoad returns what this router has under way at an endpoint.
+func (p *PromptPicker) OwnLoad(id string) PeerLoad {
+	t := p.targets[id]
+	if t == nil {
+		return PeerLoad{Endpoint: id}
+	}
+	return PeerLoad{Endpoint: id, Open: t.open, Unread: t.unread}
+}
+
+// OwnLoads returns what this router has under way at all endpoints.
+func (p *PromptPicker) OwnLoads() []PeerLoad {
+	var out []PeerLoad
+	for id, t := range p.targets {
+		if t.open > 0 {
+			out = append(out, p.OwnLoad(id))
+		}
+	}
+	return out
+}
+
+// Told takes in what another router has under way at an endpoint.
+func (p *PromptPicker) Told(from string, load PeerLoad) {
+	t := p.targets[load.Endpoint]
+	if t == nil || load.Open < 0 || load.Unread < 0 {
+		return
+	}
+	t.setTold(from, load)
+}
+
+// Forget drops all that a router told.
+func (p *PromptPicker) Forget(from string) {
+	for _, t := range p.targets {
+		t.setTold(from, PeerLoad{})
+	}
+}
+
+func (t *target) setTold(from string, load PeerLoad) {
+	last := t.told[from]
+	t.peerUnread += load.Unread - last.Unread
+	t.peerOpen += load.Open - last.Open
+	if load.Open == 0 && load.Unread == 0 {
+		delete(t.told, from)
+		return
+	}
+	if t.told == nil {
+		t.told = make(map[string]PeerLoad)
+	}
+	t.told[from] = load
+}
+
 // Served notes that an endpoint gave a whole answer.
 func (p *PromptPicker) Served(id string) {
 	if t := p.targets[id]; t != nil {
