Reach the store through another router when it is out of reach

Change: its calls go through another router until a probe is answered again. The adapter chooses the way, the routers carry the calls.

--- a/direct/peers.go
+++ b/direct/peers.go
@@ -43,6 +43,8 @@
 	address string
 	// avoid is until when it isn't chosen.
 	avoid time.Time
+	// tableAway is until when it isn't asked to relay calls.
+	tableAway time.Time
 }
 
 // peers are the other routers, which keep what this one announces of its
@@ -54,6 +56,8 @@
 	memory *prepaid.Testimony
 	// loads takes what other routers have under way.
 	loads *endpoints
+	// caller makes calls for other routers, nil if there is none.
+	caller TableCaller
 	// leaving tells whether this process is about to stop.
 	leaving func() bool
 
--- a/direct/router.go
+++ b/direct/router.go
@@ -56,8 +56,10 @@
 	Network  rpc.Network
 	Protocol Protocol
 	Table    prepaid.Table
-	Logger   *slog.Logger
-	Metrics  tally.Scope
+	// Caller makes calls to the table service for other routers; nil for none.
+	Caller  TableCaller
+	Logger  *slog.Logger
+	Metrics tally.Scope
 }
 
 // Router is one router process for endpoints that are reached directly.
@@ -89,6 +91,7 @@
 	}
 	self := prepaid.Witness{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
 	r.peers = newPeers(self, opts.Network, r.endpoints, r.draining.Load, opts.Logger)
+	r.peers.caller = opts.Caller
 	r.credit = prepaid.NewService(prepaid.Options{
 		VM: self.VM, Incarnation: self.Incarnation, Policy: prepaid.DefaultPolicy(),
 		Table: opts.Table, Witnesses: r.peers, Logger: opts.Logger, Metrics: opts.Metrics,
