--- a/direct/peers.go
+++ b/direct/peers.go
@@ -53,7 +53,7 @@
 	self   prepaid.Witness
 	logger *slog.Logger
 	client *rpc.Client
-	memory *prepaid.Testimony
+	memory *prepaid.Announcements
 	// loads takes what other routers have under way.
 	loads *endpoints
 	// caller makes calls for other routers, nil if there is none.
@@ -72,7 +72,7 @@
 
 func newPeers(self prepaid.Witness, network rpc.Network, loads *endpoints, leaving func() bool, logger *slog.Logger) *peers {
 	return &peers{
-		self: self, logger: logger, loads: loads, client: rpc.NewClient(network), memory: prepaid.NewTestimony(),
+		self: self, logger: logger, loads: loads, client: rpc.NewClient(network), memory: prepaid.NewAnnouncements(),
 		leaving: leaving, known: make(map[string]*peerRouter),
 	}
 }
--- a/prepaid/service_test.go
+++ b/prepaid/service_test.go
@@ -100,7 +100,7 @@
 
 // fakeWitness is a witness that answers or doesn't.
 type fakeWitness struct {
-	memory *prepaid.Testimony
+	memory *prepaid.Announcements
 	down   atomic.Bool
 	asked  atomic.Int64
 }
@@ -133,7 +133,7 @@
 // charges that and little more.
 func TestTheWitnessCarriesAServiceThroughAnOutage(t *testing.T) {
 	table := standin.NewTable()
-	witness := &fakeWitness{memory: prepaid.NewTestimony()}
+	witness := &fakeWitness{memory: prepaid.NewAnnouncements()}
 	s, stop := startWith(t, table, 1, 10_000_000, witness)
 	spent := int64(0)
 	spend := func(tokens int64) {
@@ -170,7 +170,7 @@
 // predecessor's witness is away.
 func TestAWitnessThatDoesNotAnswerHoldsNobodyUp(t *testing.T) {
 	table := standin.NewTable()
-	witness := &fakeWitness{memory: prepaid.NewTestimony()}
+	witness := &fakeWitness{memory: prepaid.NewAnnouncements()}
 	s, stop := startWith(t, table, 1, 1_000_000, witness)
 	reserveSoon(t, s, 100)
 	time.Sleep(500 * time.Millisecond)
--- a/prepaid/witness.go
+++ b/prepaid/witness.go
@@ -168,29 +168,31 @@
 	}
 }
 
-// maxTestimonies bounds the holders' processes of which limits are kept. One that
+// maxHolders bounds the holders' processes of which limits are kept. One that
 // restarts each second comes to that in minutes; its successor reads at the start.
-const maxTestimonies = 1024
+const maxHolders = 1024
 
-// Testimony is what a process was told as a witness. It is safe for concurrent
+// Announcements is what a process was told as a witness. It is safe for concurrent
 // use.
-type Testimony struct {
+type Announcements struct {
 	mu     sync.Mutex
 	limits map[Witness]map[string]int64
 	// forgot is set when something was dropped.
 	forgot bool
 }
 
-// NewTestimony returns the empty memory of a witness.
-func NewTestimony() *Testimony { return &Testimony{limits: make(map[Witness]map[string]int64)} }
+// NewAnnouncements returns the empty memory of a witness.
+func NewAnnouncements() *Announcements {
+	return &Announcements{limits: make(map[Witness]map[string]int64)}
+}
 
 // Take notes limits of a holder. They only rise.
-func (t *Testimony) Take(holder Witness, limits map[string]int64) {
+func (t *Announcements) Take(holder Witness, limits map[string]int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.limits[holder]
 	if known == nil {
-		if len(t.limits) >= maxTestimonies {
+		if len(t.limits) >= maxHolders {
 			t.limits, t.forgot = make(map[Witness]map[string]int64), true
 		}
 		known = make(map[string]int64)
@@ -202,7 +204,7 @@
 }
 
 // Recall returns the limits of a holder.
-func (t *Testimony) Recall(holder Witness) Recalled {
+func (t *Announcements) Recall(holder Witness) Recalled {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known, ok := t.limits[holder]
--- a/prepaid/witness_test.go
+++ b/prepaid/witness_test.go
@@ -83,11 +83,11 @@
 	}
 }
 
-// TestAProcessThatIsDarkLosesLittleOfTheBudget kills a process, which comes back
+// TestAProcessThatIsDownForSecondsLosesLittleOfTheBudget kills a process, which comes back
 // after 4 s: its witness tells that it had not gone beyond its statement. A third
 // of the fleet may lose a third of what all of it may, 3 in 100 of the budget, and
 // what it spent since its last statement.
-func TestAProcessThatIsDarkLosesLittleOfTheBudget(t *testing.T) {
+func TestAProcessThatIsDownForSecondsLosesLittleOfTheBudget(t *testing.T) {
 	w, _, _ := witnessed()
 	w.serve(20, false)
 	w.kill("a")
@@ -128,9 +128,9 @@
 	}
 }
 
-func TestTestimonyOnlyRises(t *testing.T) {
+func TestAnnouncedLimitsOnlyRise(t *testing.T) {
 	holder := prepaid.Witness{VM: "a", Incarnation: 1}
-	memory := prepaid.NewTestimony()
+	memory := prepaid.NewAnnouncements()
 	if got := memory.Recall(holder); !got.Heard || got.Limits["w"] != 0 {
 		t.Fatalf("%+v", got)
 	}
@@ -141,10 +141,10 @@
 	}
 }
 
-// TestAFullTestimonyIsNotHeard: a holder that may have been forgotten has no
+// TestAHolderThatMayBeForgottenIsNotHeard: a holder that may have been forgotten has no
 // witness.
-func TestAFullTestimonyIsNotHeard(t *testing.T) {
-	memory := prepaid.NewTestimony()
+func TestAHolderThatMayBeForgottenIsNotHeard(t *testing.T) {
+	memory := prepaid.NewAnnouncements()
 	for i := range int64(1025) {
 		memory.Take(prepaid.Witness{VM: "a", Incarnation: i}, map[string]int64{"w": 1})
 	}
