Drop what routers tell of open requests, which nothing used

Cause: read once more, the open requests told between routers were summed and never read, and notices went out when only they changed: twice a request that has no prompt, and once more at the end of each generation.

Change: only unread tokens are told, and only when they change.

Ruled out: weighing the open requests of others in the choice: the load that endpoints tell covers them, and it would be another policy.

--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -117,7 +117,7 @@
 	choice, err := e.picker.Pick(now, q)
 	if err == nil {
 		e.picker.Sent(now, choice)
-		e.loadChanged(choice.Endpoint.ID)
+		e.unreadChanged(choice)
 	}
 	return choice, err
 }
@@ -127,7 +127,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.picker.Read(choice)
-	e.loadChanged(choice.Endpoint.ID)
+	e.unreadChanged(choice)
 }
 
 // attemptEnded notes how an attempt ended.
@@ -136,8 +136,10 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.picker.Finished(choice, a.promptRead)
+	if !a.promptRead {
+		e.unreadChanged(choice)
+	}
 	id := choice.Endpoint.ID
-	e.loadChanged(id)
 	if a.answer.Load >= 0 {
 		e.picker.Reported(now, id, a.answer.Load)
 	}
--- a/direct/loads.go
+++ b/direct/loads.go
@@ -104,9 +104,7 @@
 		}
 		notice := &pb.TellLoadsRequest{From: from}
 		for _, load := range r.takeLoads(news, maxLoadsTold) {
-			notice.Loads = append(notice.Loads, &pb.EndpointLoad{
-				Endpoint: load.Endpoint, Open: int32(load.Open), Unread: load.Unread,
-			})
+			notice.Loads = append(notice.Loads, &pb.EndpointLoad{Endpoint: load.Endpoint, Unread: load.Unread})
 		}
 		if err := stream.Send(notice); err != nil {
 			return err
@@ -134,9 +132,7 @@
 		from = notice.GetFrom().GetVm()
 		loads := make([]routing.PeerLoad, 0, len(notice.GetLoads()))
 		for _, load := range notice.GetLoads() {
-			loads = append(loads, routing.PeerLoad{
-				Endpoint: load.GetEndpoint(), Open: int(load.GetOpen()), Unread: load.GetUnread(),
-			})
+			loads = append(loads, routing.PeerLoad{Endpoint: load.GetEndpoint(), Unread: load.GetUnread()})
 		}
 		s.loads.told(from, loads)
 	}
@@ -165,11 +161,14 @@
 	delete(e.news, news)
 }
 
-// loadChanged notes that the own load of an endpoint changed. It is called with
-// the lock held.
-func (e *endpoints) loadChanged(id string) {
+// unreadChanged notes that a choice's unread tokens were added to the own load of
+// its endpoint, or are read. It is called with the lock held.
+func (e *endpoints) unreadChanged(choice routing.PromptChoice) {
+	if choice.Unread == 0 {
+		return
+	}
 	for news := range e.news {
-		news.pending[id] = struct{}{}
+		news.pending[choice.Endpoint.ID] = struct{}{}
 		select {
 		case news.signal <- struct{}{}:
 		default:
--- a/direct/loads_test.go
+++ b/direct/loads_test.go
@@ -85,7 +85,7 @@
 func TestASilentRoutersWordIsForgotten(t *testing.T) {
 	e := newEndpoints("fd", slog.New(slog.DiscardHandler))
 	e.ResetEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Address: "127.0.0.1:1"}})
-	e.told("vm", []routing.PeerLoad{{Endpoint: "e", Open: 1, Unread: 500}})
+	e.told("vm", []routing.PeerLoad{{Endpoint: "e", Unread: 500}})
 	e.mu.Lock()
 	e.forgetSilent(time.Now().Add(loadSilence / 2))
 	kept := len(e.heard)
--- a/routing/peerload_test.go
+++ b/routing/peerload_test.go
@@ -12,6 +12,8 @@
 // fleetRun is a load of long and short prompts over several routers.
 type fleetRun struct {
 	routers []*routing.PromptPicker
+	// open are the choices of the requests under way, by router.
+	open map[int][]routing.PromptChoice
 	// busyUntil is when each endpoint has read all prompts it has, by its time.
 	busyUntil map[string]time.Time
 	tell      bool
@@ -29,6 +31,7 @@
 		t.Fatal(err)
 	}
 	p.Sent(now, choice)
+	f.open[router] = append(f.open[router], choice)
 	id := choice.Endpoint.ID
 	begin := now
 	if f.busyUntil[id].After(now) {
@@ -58,7 +61,7 @@
 	t.Helper()
 	const routers, bursts, burst = 4, 200, 8
 	const objective = 400 * time.Millisecond
-	f := &fleetRun{busyUntil: make(map[string]time.Time), tell: tell}
+	f := &fleetRun{open: make(map[int][]routing.PromptChoice), busyUntil: make(map[string]time.Time), tell: tell}
 	for range routers {
 		f.routers = append(f.routers, prompts(12))
 	}
@@ -77,12 +80,11 @@
 		}
 		// All prompts are read before the next burst.
 		for r, p := range f.routers {
-			for _, load := range p.OwnLoads() {
-				for range load.Open {
-					p.Finished(routing.PromptChoice{Endpoint: routing.PromptEndpoint{ID: load.Endpoint}, Unread: load.Unread}, false)
-				}
-				f.share(r, load.Endpoint)
+			for _, choice := range f.open[r] {
+				p.Finished(choice, false)
+				f.share(r, choice.Endpoint.ID)
 			}
+			f.open[r] = nil
 		}
 	}
 	return count
@@ -104,10 +106,10 @@
 
 func TestWhatARouterToldIsForgottenWithIt(t *testing.T) {
 	p := prompts(2)
-	p.Told("r1", routing.PeerLoad{Endpoint: "e000", Open: 1, Unread: 50_000})
-	p.Told("r2", routing.PeerLoad{Endpoint: "e001", Open: 1, Unread: 1_000})
-	p.Told("r1", routing.PeerLoad{Endpoint: "unknown", Open: 1, Unread: 1_000})
-	p.Told("r2", routing.PeerLoad{Endpoint: "e001", Open: -1, Unread: -5})
+	p.Told("r1", routing.PeerLoad{Endpoint: "e000", Unread: 50_000})
+	p.Told("r2", routing.PeerLoad{Endpoint: "e001", Unread: 1_000})
+	p.Told("r1", routing.PeerLoad{Endpoint: "unknown", Unread: 1_000})
+	p.Told("r2", routing.PeerLoad{Endpoint: "e001", Unread: -5})
 	choice, err := p.Pick(start, routing.PromptQuery{Service: "s", PromptTokens: 100})
 	if err != nil || choice.Endpoint.ID != "e001" || choice.PeerWaiting != 1_000 {
 		t.Fatalf("%+v, %v", choice, err)
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -100,18 +100,16 @@
 	cached      map[uint64]time.Time
 	failures    int
 	pausedUntil time.Time
-	// told is what other routers have under way there, peerUnread and peerOpen
-	// their sums.
-	told       map[string]PeerLoad
+	// told is the unread tokens that each other router has under way there,
+	// peerUnread their sum.
+	told       map[string]int64
 	peerUnread int64
-	peerOpen   int
 }
 
 // PeerLoad is what one router has under way at an endpoint.
 type PeerLoad struct {
 	Endpoint string
-	// Open is its open requests, Unread their prompt tokens still to be read.
-	Open   int
+	// Unread is the prompt tokens of its requests that are still to be read.
 	Unread int64
 }
 
@@ -354,14 +352,14 @@
 	if t == nil {
 		return PeerLoad{Endpoint: id}
 	}
-	return PeerLoad{Endpoint: id, Open: t.open, Unread: t.unread}
+	return PeerLoad{Endpoint: id, Unread: t.unread}
 }
 
 // OwnLoads returns what this router has under way at all endpoints.
 func (p *PromptPicker) OwnLoads() []PeerLoad {
 	var out []PeerLoad
 	for id, t := range p.targets {
-		if t.open > 0 {
+		if t.unread > 0 {
 			out = append(out, p.OwnLoad(id))
 		}
 	}
@@ -371,31 +369,29 @@
 // Told takes in what another router has under way at an endpoint.
 func (p *PromptPicker) Told(from string, load PeerLoad) {
 	t := p.targets[load.Endpoint]
-	if t == nil || load.Open < 0 || load.Unread < 0 {
+	if t == nil || load.Unread < 0 {
 		return
 	}
-	t.setTold(from, load)
+	t.setTold(from, load.Unread)
 }
 
 // Forget drops all that a router told.
 func (p *PromptPicker) Forget(from string) {
 	for _, t := range p.targets {
-		t.setTold(from, PeerLoad{})
+		t.setTold(from, 0)
 	}
 }
 
-func (t *target) setTold(from string, load PeerLoad) {
-	last := t.told[from]
-	t.peerUnread += load.Unread - last.Unread
-	t.peerOpen += load.Open - last.Open
-	if load.Open == 0 && load.Unread == 0 {
+func (t *target) setTold(from string, unread int64) {
+	t.peerUnread += unread - t.told[from]
+	if unread == 0 {
 		delete(t.told, from)
 		return
 	}
 	if t.told == nil {
-		t.told = make(map[string]PeerLoad)
+		t.told = make(map[string]int64)
 	}
-	t.told[from] = load
+	t.told[from] = unread
 }
 
 // Served notes that an endpoint gave a whole answer.
