Count a prompt as read when its endpoint answers with a failure

Cause: found when the change was read once more. An answer that is not a stream was marked as read without the picker being told, so that the unread tokens of a generation that an endpoint answered with a failure stayed on that endpoint for the rest of the process, at this router and, since loads are told, at all: it was chosen ever less.

Change: only a stream, which tells the picker, marks its prompt as read; the end of an attempt takes off the rest.

Ruled out: telling the picker at the head of every answer, which is one more lock for plain requests that have no prompt.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -80,7 +80,8 @@
 	stream io.ReadCloser
 	// crashed is set when the endpoint broke off while it may have run the request.
 	crashed bool
-	// promptRead is set once the endpoint has begun to answer.
+	// promptRead is set once the picker was told that the prompt is read, which is
+	// before the end of a stream only.
 	promptRead bool
 }
 
@@ -187,7 +188,6 @@
 		a.stream = resp.Body
 		return
 	}
-	a.promptRead = true
 	a.readBody(resp)
 }
 
--- a/direct/loads_test.go
+++ b/direct/loads_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"testing"
 	"time"
 
@@ -97,3 +98,18 @@
 		t.Fatalf("%d, then %d routers are heard, %d tokens, %v", kept, left, choice.PeerWaiting, err)
 	}
 }
+
+// TestAFailureOfAnEndpointLeavesNoPromptUnderWay: a generation that the endpoint
+// answers with a failure is not read event by event.
+func TestAFailureOfAnEndpointLeavesNoPromptUnderWay(t *testing.T) {
+	g := newRig(t, 1, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	g.awaitGrant()
+	got := g.send(http.MethodPost, "/stream/a", "x", "T-Prompt", "100", "T-Output", "50")
+	if got.status != http.StatusInternalServerError || g.runs() != 1 {
+		t.Fatalf("%+v after %d runs", got, g.runs())
+	}
+	eventually(t, "the attempt's end", func() bool {
+		view := g.router.view()
+		return view[0].Open == 0 && view[0].Unread == 0
+	})
+}
