Rank other routers in one place, and relay calls by one interface

Cause: read once more, the choice of a witness and of the routers that carry calls ranked the others by two copies of the same hash, two methods passed routers over, and a call that nobody could carry was told by an error made up to look like a failed dial.

Change: peers.ranked and peers.note serve both. direct.TableCaller is what a router and the store's client both offer: the answer, whether the call was made, and its error.

Ruled out: one time for both ways of being passed over: a router that doesn't reach the store can be a witness.

--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -65,7 +65,7 @@
 		Settings: set.Router, Incarnation: incarnation, Network: rpc.TCP{}, Protocol: platform.Headers{},
 		Table: store, Caller: store, Logger: logger, Metrics: metrics.Scope,
 	})
-	store.RelayThrough(router.RelayCall)
+	store.RelayThrough(router)
 	logger.Info("started", "vm", set.Router.VM, "failure_domain", set.Router.FailureDomain,
 		"incarnation", incarnation, "version", daemon.Version)
 	go reload(logger)
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -91,25 +91,33 @@
 	p.logger.Info("router learned", "vm", id.VM, "incarnation", id.Incarnation, "address", address)
 }
 
-// Choose implements prepaid.Witnesses. Routers choose differently, so that no one
-// is the witness of many.
+// Choose implements prepaid.Witnesses.
 func (p *peers) Choose() (prepaid.Witness, bool) {
+	ranked := p.ranked(func(known *peerRouter) time.Time { return known.avoid })
+	if len(ranked) == 0 {
+		return prepaid.Witness{}, false
+	}
+	return ranked[0], true
+}
+
+// ranked returns the routers whose time to be passed over has ended, in the order
+// in which this one turns to them. Routers differ in it, so that no one has to
+// serve many.
+func (p *peers) ranked(passedOver func(*peerRouter) time.Time) []prepaid.Witness {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var candidates []*peerRouter
 	now := time.Now()
+	key := rendezvous.Hash(p.self.VM)
+	var out []prepaid.Witness
+	scores := make(map[prepaid.Witness]uint64)
 	for _, known := range p.known {
-		if now.After(known.avoid) {
-			candidates = append(candidates, known)
+		if now.After(passedOver(known)) {
+			out = append(out, known.id)
+			scores[known.id] = rendezvous.Score(key, rendezvous.Hash(known.id.VM))
 		}
 	}
-	if len(candidates) == 0 {
-		return prepaid.Witness{}, false
-	}
-	key := rendezvous.Hash(p.self.VM)
-	score := func(r *peerRouter) uint64 { return rendezvous.Score(key, rendezvous.Hash(r.id.VM)) }
-	best := slices.MaxFunc(candidates, func(a, b *peerRouter) int { return cmp.Compare(score(a), score(b)) })
-	return best.id, true
+	slices.SortFunc(out, func(a, b prepaid.Witness) int { return cmp.Compare(scores[b], scores[a]) })
+	return out
 }
 
 // list returns the addresses of all known routers.
@@ -140,15 +148,20 @@
 	return ""
 }
 
-// pass passes a router over for a while.
-func (p *peers) pass(w prepaid.Witness) {
+// note changes what is known of a router.
+func (p *peers) note(w prepaid.Witness, change func(known *peerRouter)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if known := p.known[w.VM]; known != nil {
-		known.avoid = time.Now().Add(avoidTime)
+		change(known)
 	}
 }
 
+// avoid passes a router over as a witness for a while.
+func (p *peers) avoid(w prepaid.Witness) {
+	p.note(w, func(known *peerRouter) { known.avoid = time.Now().Add(avoidTime) })
+}
+
 // Announce implements prepaid.Witnesses. Its error is a *PeerError.
 func (p *peers) Announce(ctx context.Context, w prepaid.Witness, limits map[string]int64) (leaving bool, err error) {
 	conn, err := p.conn(ctx, w)
@@ -158,14 +171,14 @@
 	defer func() { _ = conn.Close() }()
 	resp, err := conn.Announce(ctx, &pb.AnnounceRequest{Holder: processID(p.self), Witness: processID(w), Limits: limits})
 	if err != nil {
-		p.pass(w)
+		p.avoid(w)
 		return false, &PeerError{VM: w.VM, Problem: "no answer", Cause: err}
 	}
 	if !resp.GetAccepted() {
 		return false, &PeerError{VM: w.VM, Problem: "another process runs there"}
 	}
 	if resp.GetLeaving() {
-		p.pass(w)
+		p.avoid(w)
 	}
 	return resp.GetLeaving(), nil
 }
--- a/direct/relaycall.go
+++ b/direct/relaycall.go
@@ -1,14 +1,11 @@
 package direct
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/prepaid"
-	"jackdawswitch/rendezvous"
 	"jackdawswitch/rpc"
 )
 
@@ -35,21 +32,20 @@
 	Body   []byte
 }
 
-// TableCaller makes calls for other routers.
+// TableCaller makes calls to the table service. Reached is false if the call was
+// not made, as the service is out of reach; with an error it may have been.
 type TableCaller interface {
-	// CallFor makes a call, false if the table service is out of reach.
-	CallFor(ctx context.Context, call TableCall) (answer TableAnswer, reached bool, err error)
+	CallTable(ctx context.Context, call TableCall) (answer TableAnswer, reached bool, err error)
 }
 
-// RelayCall lets another router make a call that this one can't. Its error is a
-// *PeerError; rpc.NotSent tells whether the call was not made.
-func (r *Router) RelayCall(ctx context.Context, call TableCall) (TableAnswer, error) {
-	return r.peers.relay(ctx, call)
+// CallTable implements TableCaller: another router makes the call. Its error is a
+// *PeerError.
+func (r *Router) CallTable(ctx context.Context, call TableCall) (answer TableAnswer, reached bool, err error) {
+	return r.peers.callTable(ctx, call)
 }
 
-func (p *peers) relay(ctx context.Context, call TableCall) (TableAnswer, error) {
+func (p *peers) callTable(ctx context.Context, call TableCall) (answer TableAnswer, reached bool, err error) {
 	req := &pb.RelayRequest{Method: call.Method, Target: call.Target, Body: call.Body}
-	var last error = &rpc.DialError{Address: "another router", Cause: &PeerError{VM: "any", Problem: "none reaches the table service"}}
 	for _, id := range p.relays() {
 		conn, err := p.conn(ctx, id)
 		if err != nil {
@@ -57,46 +53,21 @@
 		}
 		resp, err := conn.Relay(ctx, req)
 		_ = conn.Close()
-		switch {
-		case err != nil:
-			p.relayAway(id)
-			last = &PeerError{VM: id.VM, Problem: "call not relayed", Cause: err}
-			if !rpc.NotSent(err) {
-				return TableAnswer{}, last
-			}
-		case resp.GetAway():
-			p.relayAway(id)
-		default:
-			return TableAnswer{Status: int(resp.GetStatus()), Body: resp.GetBody()}, nil
+		if err == nil && !resp.GetAway() {
+			return TableAnswer{Status: int(resp.GetStatus()), Body: resp.GetBody()}, true, nil
+		}
+		p.note(id, func(known *peerRouter) { known.tableAway = time.Now().Add(relayAwayTime) })
+		if err != nil && !rpc.NotSent(err) {
+			return TableAnswer{}, true, &PeerError{VM: id.VM, Problem: "call not relayed", Cause: err}
 		}
 	}
-	return TableAnswer{}, last
+	return TableAnswer{}, false, nil
 }
 
 // relays are the routers to ask, in the order of asking.
 func (p *peers) relays() []prepaid.Witness {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	var out []prepaid.Witness
-	for _, known := range p.known {
-		if now.After(known.tableAway) {
-			out = append(out, known.id)
-		}
-	}
-	key := rendezvous.Hash(p.self.VM)
-	slices.SortFunc(out, func(a, b prepaid.Witness) int {
-		return cmp.Compare(rendezvous.Score(key, rendezvous.Hash(b.VM)), rendezvous.Score(key, rendezvous.Hash(a.VM)))
-	})
-	return out[:min(len(out), maxRelayTries)]
-}
-
-func (p *peers) relayAway(id prepaid.Witness) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known := p.known[id.VM]; known != nil {
-		known.tableAway = time.Now().Add(relayAwayTime)
-	}
+	ranked := p.ranked(func(known *peerRouter) time.Time { return known.tableAway })
+	return ranked[:min(len(ranked), maxRelayTries)]
 }
 
 // Relay implements pb.DRPCRouterPeerServer.
@@ -104,7 +75,7 @@
 	if s.caller == nil {
 		return &pb.RelayResponse{Away: true}, nil
 	}
-	answer, reached, err := s.caller.CallFor(ctx, TableCall{Method: req.GetMethod(), Target: req.GetTarget(), Body: req.GetBody()})
+	answer, reached, err := s.caller.CallTable(ctx, TableCall{Method: req.GetMethod(), Target: req.GetTarget(), Body: req.GetBody()})
 	if err != nil {
 		return nil, err
 	}
--- a/direct/relaycall_test.go
+++ b/direct/relaycall_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"jackdawswitch/prepaid"
-	"jackdawswitch/rpc"
 	"jackdawswitch/rpc/memnet"
 )
 
@@ -18,7 +17,7 @@
 	calls atomic.Int64
 }
 
-func (f *fakeCaller) CallFor(_ context.Context, call TableCall) (TableAnswer, bool, error) {
+func (f *fakeCaller) CallTable(_ context.Context, call TableCall) (TableAnswer, bool, error) {
 	if f.away.Load() {
 		return TableAnswer{}, false, nil
 	}
@@ -48,8 +47,8 @@
 		first = self.relays()[1].VM
 	}
 	callers[first].away.Store(true)
-	answer, err := self.relay(ctx, call)
-	if err != nil || answer.Status != 200 || string(answer.Body) != "POST /x?y=1 z" {
+	answer, reached, err := self.callTable(ctx, call)
+	if err != nil || !reached || answer.Status != 200 || string(answer.Body) != "POST /x?y=1 z" {
 		t.Fatalf("%+v, %v", answer, err)
 	}
 	if callers[first].calls.Load() != 0 {
@@ -59,11 +58,11 @@
 	// A call that may have been made is not given to a third router.
 	second := map[string]string{"b": "c", "c": "b"}[first]
 	callers[second].fails.Store(true)
-	if _, err := self.relay(ctx, call); err == nil || rpc.NotSent(err) {
-		t.Fatalf("%v", err)
+	if _, reached, err := self.callTable(ctx, call); err == nil || !reached {
+		t.Fatalf("%v, %v", reached, err)
 	}
 	callers[second].away.Store(true)
-	if _, err := self.relay(ctx, call); !rpc.NotSent(err) {
-		t.Fatalf("nobody reaches the table: %v", err)
+	if _, reached, err := self.callTable(ctx, call); err != nil || reached {
+		t.Fatalf("nobody reaches the table: %v, %v", reached, err)
 	}
 }
