Name processes as such, and keep what a witness holds in a file of its own

Cause: read once more, the type of a witness also named holders and other routers, and witness.go held both sides of an announcement.

Change: prepaid.Process names a process; announcements.go holds the side of the witness; the explanation heads witness.go.

Ruled out: pb.ProcessId, which can't be compared or be a key.

--- a/direct/loads.go
+++ b/direct/loads.go
@@ -39,7 +39,7 @@
 func (r *Router) tellLoads(ctx context.Context) {
 	var tellers sync.WaitGroup
 	defer tellers.Wait()
-	running := make(map[prepaid.Witness]context.CancelFunc)
+	running := make(map[prepaid.Process]context.CancelFunc)
 	ticker := time.NewTicker(tellersInterval)
 	defer ticker.Stop()
 	for {
@@ -67,7 +67,7 @@
 }
 
 // tellRouter tells one router until ctx ends.
-func (r *Router) tellRouter(ctx context.Context, id prepaid.Witness, address string) {
+func (r *Router) tellRouter(ctx context.Context, id prepaid.Process, address string) {
 	for ctx.Err() == nil {
 		err := r.streamLoads(ctx, address)
 		if ctx.Err() != nil {
--- a/direct/loads_test.go
+++ b/direct/loads_test.go
@@ -20,7 +20,7 @@
 
 // startPeerRouter starts the part of a router that talks to others, with one
 // endpoint, on a host of the network. Stop ends it as a crash does.
-func startPeerRouter(t *testing.T, network *memnet.Network, id prepaid.Witness) (r *Router, stop func()) {
+func startPeerRouter(t *testing.T, network *memnet.Network, id prepaid.Process) (r *Router, stop func()) {
 	t.Helper()
 	host := network.Host(id.VM)
 	r = New(Options{
@@ -62,7 +62,7 @@
 
 func TestAPromptUnderWayIsToldToTheOtherRouters(t *testing.T) {
 	network := memnet.New()
-	a, b := prepaid.Witness{VM: "a", Incarnation: 1}, prepaid.Witness{VM: "b", Incarnation: 2}
+	a, b := prepaid.Process{VM: "a", Incarnation: 1}, prepaid.Process{VM: "b", Incarnation: 2}
 	first, stopFirst := startPeerRouter(t, network, a)
 	second, stopSecond := startPeerRouter(t, network, b)
 	defer stopSecond()
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -65,7 +65,7 @@
 		r.logger.Warn("notice refused", "vm", vm, "error", err.Error())
 		return
 	}
-	r.peers.learn(prepaid.Witness{VM: vm, Incarnation: n.Incarnation}, n.Address)
+	r.peers.learn(prepaid.Process{VM: vm, Incarnation: n.Incarnation}, n.Address)
 	r.quarantine.learn(n.Crashes, vm == r.opts.Settings.VM)
 }
 
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -39,7 +39,7 @@
 
 // peerRouter is another router.
 type peerRouter struct {
-	id      prepaid.Witness
+	id      prepaid.Process
 	address string
 	// avoid is until when it isn't chosen.
 	avoid time.Time
@@ -50,7 +50,7 @@
 // peers are the other routers, which keep what this one announces of its
 // spending, and what they announced to this one.
 type peers struct {
-	self   prepaid.Witness
+	self   prepaid.Process
 	logger *slog.Logger
 	client *rpc.Client
 	memory *prepaid.Announcements
@@ -70,7 +70,7 @@
 	_ pb.DRPCRouterPeerServer = peerServer{}
 )
 
-func newPeers(self prepaid.Witness, network rpc.Network, loads *endpoints, leaving func() bool, logger *slog.Logger) *peers {
+func newPeers(self prepaid.Process, network rpc.Network, loads *endpoints, leaving func() bool, logger *slog.Logger) *peers {
 	return &peers{
 		self: self, logger: logger, loads: loads, client: rpc.NewClient(network), memory: prepaid.NewAnnouncements(),
 		leaving: leaving, known: make(map[string]*peerRouter),
@@ -78,7 +78,7 @@
 }
 
 // learn notes the newest process on a VM and its address.
-func (p *peers) learn(id prepaid.Witness, address string) {
+func (p *peers) learn(id prepaid.Process, address string) {
 	if id.VM == p.self.VM || address == "" {
 		return
 	}
@@ -92,10 +92,10 @@
 }
 
 // Choose implements prepaid.Witnesses.
-func (p *peers) Choose() (prepaid.Witness, bool) {
+func (p *peers) Choose() (prepaid.Process, bool) {
 	ranked := p.ranked(func(known *peerRouter) time.Time { return known.avoid })
 	if len(ranked) == 0 {
-		return prepaid.Witness{}, false
+		return prepaid.Process{}, false
 	}
 	return ranked[0], true
 }
@@ -103,28 +103,28 @@
 // ranked returns the routers whose time to be passed over has ended, in the order
 // in which this one turns to them. Routers differ in it, so that no one has to
 // serve many.
-func (p *peers) ranked(passedOver func(*peerRouter) time.Time) []prepaid.Witness {
+func (p *peers) ranked(passedOver func(*peerRouter) time.Time) []prepaid.Process {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	key := rendezvous.Hash(p.self.VM)
-	var out []prepaid.Witness
-	scores := make(map[prepaid.Witness]uint64)
+	var out []prepaid.Process
+	scores := make(map[prepaid.Process]uint64)
 	for _, known := range p.known {
 		if now.After(passedOver(known)) {
 			out = append(out, known.id)
 			scores[known.id] = rendezvous.Score(key, rendezvous.Hash(known.id.VM))
 		}
 	}
-	slices.SortFunc(out, func(a, b prepaid.Witness) int { return cmp.Compare(scores[b], scores[a]) })
+	slices.SortFunc(out, func(a, b prepaid.Process) int { return cmp.Compare(scores[b], scores[a]) })
 	return out
 }
 
 // list returns the addresses of all known routers.
-func (p *peers) list() map[prepaid.Witness]string {
+func (p *peers) list() map[prepaid.Process]string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make(map[prepaid.Witness]string, len(p.known))
+	out := make(map[prepaid.Process]string, len(p.known))
 	for _, known := range p.known {
 		out[known.id] = known.address
 	}
@@ -139,7 +139,7 @@
 }
 
 // address returns where a process is reached, empty if it is not known.
-func (p *peers) address(w prepaid.Witness) string {
+func (p *peers) address(w prepaid.Process) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if known := p.known[w.VM]; known != nil {
@@ -149,7 +149,7 @@
 }
 
 // note changes what is known of a router.
-func (p *peers) note(w prepaid.Witness, change func(known *peerRouter)) {
+func (p *peers) note(w prepaid.Process, change func(known *peerRouter)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if known := p.known[w.VM]; known != nil {
@@ -158,12 +158,12 @@
 }
 
 // avoid passes a router over as a witness for a while.
-func (p *peers) avoid(w prepaid.Witness) {
+func (p *peers) avoid(w prepaid.Process) {
 	p.note(w, func(known *peerRouter) { known.avoid = time.Now().Add(avoidTime) })
 }
 
 // Announce implements prepaid.Witnesses. Its error is a *PeerError.
-func (p *peers) Announce(ctx context.Context, w prepaid.Witness, limits map[string]int64) (leaving bool, err error) {
+func (p *peers) Announce(ctx context.Context, w prepaid.Process, limits map[string]int64) (leaving bool, err error) {
 	conn, err := p.conn(ctx, w)
 	if err != nil {
 		return false, err
@@ -184,13 +184,13 @@
 }
 
 // Recall implements prepaid.Witnesses. Its error is a *PeerError.
-func (p *peers) Recall(ctx context.Context, w prepaid.Witness, incarnation int64) (prepaid.Recalled, error) {
+func (p *peers) Recall(ctx context.Context, w prepaid.Process, incarnation int64) (prepaid.Recalled, error) {
 	conn, err := p.conn(ctx, w)
 	if err != nil {
 		return prepaid.Recalled{}, err
 	}
 	defer func() { _ = conn.Close() }()
-	holder := prepaid.Witness{VM: p.self.VM, Incarnation: incarnation}
+	holder := prepaid.Process{VM: p.self.VM, Incarnation: incarnation}
 	resp, err := conn.Recall(ctx, &pb.RecallRequest{Holder: processID(holder), Witness: processID(w)})
 	if err != nil {
 		return prepaid.Recalled{}, &PeerError{VM: w.VM, Problem: "no answer", Cause: err}
@@ -204,7 +204,7 @@
 	Close func() error
 }
 
-func (p *peers) conn(ctx context.Context, w prepaid.Witness) (*peerConn, error) {
+func (p *peers) conn(ctx context.Context, w prepaid.Process) (*peerConn, error) {
 	address := p.address(w)
 	if address == "" {
 		return nil, &PeerError{VM: w.VM, Problem: "its address is not known"}
@@ -213,12 +213,12 @@
 	return &peerConn{DRPCRouterPeerClient: pb.NewDRPCRouterPeerClient(conn), Close: conn.Close}, nil
 }
 
-func processID(w prepaid.Witness) *pb.ProcessId {
+func processID(w prepaid.Process) *pb.ProcessId {
 	return &pb.ProcessId{Vm: w.VM, Incarnation: uint64(w.Incarnation)}
 }
 
-func fromProcessID(id *pb.ProcessId) prepaid.Witness {
-	return prepaid.Witness{VM: id.GetVm(), Incarnation: int64(id.GetIncarnation())}
+func fromProcessID(id *pb.ProcessId) prepaid.Process {
+	return prepaid.Process{VM: id.GetVm(), Incarnation: int64(id.GetIncarnation())}
 }
 
 // peerServer serves what other routers announce.
--- a/direct/peers_test.go
+++ b/direct/peers_test.go
@@ -15,7 +15,7 @@
 )
 
 // servePeer starts the peer part of a router on a host of the network.
-func servePeer(t *testing.T, network *memnet.Network, id prepaid.Witness, leaving *atomic.Bool) *peers {
+func servePeer(t *testing.T, network *memnet.Network, id prepaid.Process, leaving *atomic.Bool) *peers {
 	t.Helper()
 	p := newPeers(id, network.Host(id.VM), newEndpoints("fd", slog.New(slog.DiscardHandler)), leaving.Load, slog.New(slog.DiscardHandler))
 	listener, err := network.Host(id.VM).Listen(id.VM)
@@ -42,9 +42,9 @@
 func TestAnnouncementsAreRecalledFromTheProcessThatTookThem(t *testing.T) {
 	network := memnet.New()
 	var leaving atomic.Bool
-	holder := prepaid.Witness{VM: "a", Incarnation: 1}
-	witness := prepaid.Witness{VM: "b", Incarnation: 2}
-	other := prepaid.Witness{VM: "b", Incarnation: 3}
+	holder := prepaid.Process{VM: "a", Incarnation: 1}
+	witness := prepaid.Process{VM: "b", Incarnation: 2}
+	other := prepaid.Process{VM: "b", Incarnation: 3}
 	p := servePeer(t, network, holder, &atomic.Bool{})
 	servePeer(t, network, witness, &leaving)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -87,9 +87,9 @@
 
 func TestARouterThatDoesNotAnswerIsPassedOver(t *testing.T) {
 	network := memnet.New()
-	p := servePeer(t, network, prepaid.Witness{VM: "a", Incarnation: 1}, &atomic.Bool{})
+	p := servePeer(t, network, prepaid.Process{VM: "a", Incarnation: 1}, &atomic.Bool{})
 	for _, vm := range []string{"b", "c"} {
-		p.learn(prepaid.Witness{VM: vm, Incarnation: 5}, vm)
+		p.learn(prepaid.Process{VM: vm, Incarnation: 5}, vm)
 	}
 	first, _ := p.Choose()
 	if _, err := p.Announce(context.Background(), first, nil); err == nil {
--- a/direct/relaycall.go
+++ b/direct/relaycall.go
@@ -65,7 +65,7 @@
 }
 
 // relays are the routers to ask, in the order of asking.
-func (p *peers) relays() []prepaid.Witness {
+func (p *peers) relays() []prepaid.Process {
 	ranked := p.ranked(func(known *peerRouter) time.Time { return known.tableAway })
 	return ranked[:min(len(ranked), maxRelayTries)]
 }
--- a/direct/relaycall_test.go
+++ b/direct/relaycall_test.go
@@ -30,15 +30,15 @@
 
 func TestCallsAreRelayedByARouterThatReachesTheTable(t *testing.T) {
 	network := memnet.New()
-	self := servePeer(t, network, prepaid.Witness{VM: "a", Incarnation: 1}, &atomic.Bool{})
+	self := servePeer(t, network, prepaid.Process{VM: "a", Incarnation: 1}, &atomic.Bool{})
 	callers := make(map[string]*fakeCaller)
 	for _, vm := range []string{"b", "c"} {
-		id := prepaid.Witness{VM: vm, Incarnation: 1}
+		id := prepaid.Process{VM: vm, Incarnation: 1}
 		callers[vm] = &fakeCaller{}
 		servePeer(t, network, id, &atomic.Bool{}).caller = callers[vm]
 		self.learn(id, vm)
 	}
-	self.learn(prepaid.Witness{VM: "gone", Incarnation: 1}, "gone")
+	self.learn(prepaid.Process{VM: "gone", Incarnation: 1}, "gone")
 	call := TableCall{Method: "POST", Target: "/x?y=1", Body: []byte("z")}
 	ctx := context.Background()
 
--- a/direct/router.go
+++ b/direct/router.go
@@ -89,7 +89,7 @@
 		transport: newTransport(),
 		retries:   newRetryBudgets(opts.Settings.RetryShare),
 	}
-	self := prepaid.Witness{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
+	self := prepaid.Process{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
 	r.peers = newPeers(self, opts.Network, r.endpoints, r.draining.Load, opts.Logger)
 	r.peers.caller = opts.Caller
 	r.credit = prepaid.NewService(prepaid.Options{
--- a/prepaid/announce.go
+++ b/prepaid/announce.go
@@ -8,13 +8,13 @@
 // Witnesses are the other processes that can be witnesses.
 type Witnesses interface {
 	// Choose returns a process that answers, false if none is known to.
-	Choose() (Witness, bool)
+	Choose() (Process, bool)
 	// Announce tells a witness limits of this process. Leaving is set when the
 	// witness is about to stop.
-	Announce(ctx context.Context, w Witness, limits map[string]int64) (leaving bool, err error)
+	Announce(ctx context.Context, w Process, limits map[string]int64) (leaving bool, err error)
 	// Recall asks a witness what the process of an incarnation announced on this
 	// VM. Without an error the answer is final.
-	Recall(ctx context.Context, w Witness, incarnation int64) (Recalled, error)
+	Recall(ctx context.Context, w Process, incarnation int64) (Recalled, error)
 }
 
 const (
@@ -74,17 +74,7 @@
 	})
 }
 
-// wanting reports whether a request waits for credit.
-func (b *Book) wanting() bool {
-	for _, a := range b.active {
-		if a.wanted > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *Service) finishAnnouncement(w Witness, limits map[string]int64, leaving bool, err error) {
+func (s *Service) finishAnnouncement(w Process, limits map[string]int64, leaving bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.announcer.calling = false
--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -55,9 +55,9 @@
 	version uint64
 
 	// nextWitness is the witness of the next statement.
-	nextWitness *Witness
+	nextWitness *Process
 	// acknowledged are the limits that acknowledger knows.
-	acknowledger Witness
+	acknowledger Process
 	acknowledged map[string]int64
 }
 
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -49,7 +49,7 @@
 // process is one router with the requests it has open.
 type process struct {
 	book *prepaid.Book
-	id   prepaid.Witness
+	id   prepaid.Process
 	open []int64
 	// paused is the part of time that its steady clock did not count.
 	paused time.Duration
@@ -66,7 +66,7 @@
 	// dead are the tokens that the processes had spent that were killed.
 	dead map[int64]int64
 	// witnesses hold what each process was told.
-	witnesses map[prepaid.Witness]*prepaid.Announcements
+	witnesses map[prepaid.Process]*prepaid.Announcements
 	budget    int64
 	policy    prepaid.Policy
 	// spent is final, open requests may spend all that they reserved.
@@ -83,7 +83,7 @@
 func newWorldWith(budget int64, policy prepaid.Policy) *world {
 	w := &world{
 		now: time.Unix(1_000_000, 0), budget: budget, policy: policy, holders: make(map[string]*cell), processes: make(map[string]*process),
-		witnesses: make(map[prepaid.Witness]*prepaid.Announcements), dead: make(map[int64]int64),
+		witnesses: make(map[prepaid.Process]*prepaid.Announcements), dead: make(map[int64]int64),
 	}
 	for _, vm := range vms {
 		w.holders[vm] = &cell{}
@@ -94,7 +94,7 @@
 
 func (w *world) start(vm string) {
 	w.count++
-	p := &process{book: prepaid.NewBook(vm, w.count, w.policy), id: prepaid.Witness{VM: vm, Incarnation: w.count}}
+	p := &process{book: prepaid.NewBook(vm, w.count, w.policy), id: prepaid.Process{VM: vm, Incarnation: w.count}}
 	w.witnesses[p.id] = prepaid.NewAnnouncements()
 	p.book.SetBudgets(map[string]int64{workspace: w.budget})
 	w.processes[vm] = p
@@ -164,7 +164,7 @@
 	if s.Witness == nil || w.processes[s.Witness.VM].id != *s.Witness {
 		return prepaid.Recalled{}
 	}
-	return w.witnesses[*s.Witness].Recall(prepaid.Witness{VM: vm, Incarnation: s.Incarnation})
+	return w.witnesses[*s.Witness].Recall(prepaid.Process{VM: vm, Incarnation: s.Incarnation})
 }
 
 // choose lets a process state another process as its witness, or none.
--- a/prepaid/service_test.go
+++ b/prepaid/service_test.go
@@ -107,25 +107,25 @@
 
 var (
 	errWitnessDown = errors.New("no answer")
-	witnessID      = prepaid.Witness{VM: "other", Incarnation: 9}
+	witnessID      = prepaid.Process{VM: "other", Incarnation: 9}
 )
 
-func (f *fakeWitness) Choose() (prepaid.Witness, bool) { return witnessID, !f.down.Load() }
+func (f *fakeWitness) Choose() (prepaid.Process, bool) { return witnessID, !f.down.Load() }
 
-func (f *fakeWitness) Announce(_ context.Context, _ prepaid.Witness, limits map[string]int64) (bool, error) {
+func (f *fakeWitness) Announce(_ context.Context, _ prepaid.Process, limits map[string]int64) (bool, error) {
 	if f.down.Load() {
 		return false, errWitnessDown
 	}
-	f.memory.Take(prepaid.Witness{VM: "vm", Incarnation: 1}, limits)
+	f.memory.Take(prepaid.Process{VM: "vm", Incarnation: 1}, limits)
 	return false, nil
 }
 
-func (f *fakeWitness) Recall(_ context.Context, _ prepaid.Witness, incarnation int64) (prepaid.Recalled, error) {
+func (f *fakeWitness) Recall(_ context.Context, _ prepaid.Process, incarnation int64) (prepaid.Recalled, error) {
 	f.asked.Add(1)
 	if f.down.Load() {
 		return prepaid.Recalled{}, errWitnessDown
 	}
-	return f.memory.Recall(prepaid.Witness{VM: "vm", Incarnation: incarnation}), nil
+	return f.memory.Recall(prepaid.Process{VM: "vm", Incarnation: incarnation}), nil
 }
 
 // TestTheWitnessCarriesAServiceThroughAnOutage cuts the table off, spends what the
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -24,7 +24,7 @@
 	// workspace, for those whose grants are not retired yet.
 	Closed map[int64]map[string]int64 `json:"closed,omitempty"`
 	// Witness is who knows how far the holder goes beyond its entries, nil for none.
-	Witness *Witness `json:"witness,omitempty"`
+	Witness *Process `json:"witness,omitempty"`
 }
 
 // Entry bounds the spending of one workspace: at most Base + Burst, and Rate for
--- a/prepaid/witness.go
+++ b/prepaid/witness.go
@@ -1,21 +1,17 @@
 package prepaid
 
-import (
-	"maps"
-	"sync"
-	"time"
-)
-
-// Witness names the process that a holder tells how far its spending may go
-// while its statement can't be renewed.
-//
 // A statement must let a holder go on in a partition from the table, and what it
-// lets is lost with a holder that dies. The witness keeps that apart: the holder
-// spends no more than the statement's lesser bound, or what the witness has
-// acknowledged, up to the statement's reach. A successor that finds the witness
-// charges what was announced; one that doesn't, the reach. So the witness only
-// makes a loss smaller: nothing depends on its memory.
-type Witness struct {
+// lets is lost with a holder that dies. A witness keeps that apart: another process,
+// which the holder tells how far its spending may go while its statement can't be
+// renewed. The holder spends no more than the statement's lesser bound, or what the
+// witness has acknowledged, up to the statement's reach. A successor that finds the
+// witness charges what was announced; one that doesn't, the reach. So the witness
+// only makes a loss smaller: nothing depends on its memory.
+
+import "time"
+
+// Process names one process on a VM.
+type Process struct {
 	VM          string `json:"vm"`
 	Incarnation int64  `json:"incarnation"`
 }
@@ -97,7 +93,7 @@
 }
 
 // Witness is the witness of the statement in force, nil for none.
-func (b *Book) Witness() *Witness {
+func (b *Book) Witness() *Process {
 	if b.confirmed == nil {
 		return nil
 	}
@@ -105,7 +101,7 @@
 }
 
 // SetWitness sets the witness of the statements to come, nil for none.
-func (b *Book) SetWitness(w *Witness) { b.nextWitness = w }
+func (b *Book) SetWitness(w *Process) { b.nextWitness = w }
 
 // witnessChanged reports whether the statement in force has another witness than
 // the next one will have.
@@ -156,7 +152,7 @@
 }
 
 // Acknowledged takes in that a witness knows limits.
-func (b *Book) Acknowledged(w Witness, limits map[string]int64) {
+func (b *Book) Acknowledged(w Process, limits map[string]int64) {
 	if current := b.Witness(); current == nil || *current != w {
 		return
 	}
@@ -168,45 +164,12 @@
 	}
 }
 
-// maxHolders bounds the holders' processes of which limits are kept. One that
-// restarts each second comes to that in minutes; its successor reads at the start.
-const maxHolders = 1024
-
-// Announcements is what a process was told as a witness. It is safe for concurrent
-// use.
-type Announcements struct {
-	mu     sync.Mutex
-	limits map[Witness]map[string]int64
-	// forgot is set when something was dropped.
-	forgot bool
-}
-
-// NewAnnouncements returns the empty memory of a witness.
-func NewAnnouncements() *Announcements {
-	return &Announcements{limits: make(map[Witness]map[string]int64)}
-}
-
-// Take notes limits of a holder. They only rise.
-func (t *Announcements) Take(holder Witness, limits map[string]int64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known := t.limits[holder]
-	if known == nil {
-		if len(t.limits) >= maxHolders {
-			t.limits, t.forgot = make(map[Witness]map[string]int64), true
+// wanting reports whether a request waits for credit.
+func (b *Book) wanting() bool {
+	for _, a := range b.active {
+		if a.wanted > 0 {
+			return true
 		}
-		known = make(map[string]int64)
-		t.limits[holder] = known
-	}
-	for workspace, limit := range limits {
-		known[workspace] = max(known[workspace], limit)
 	}
-}
-
-// Recall returns the limits of a holder.
-func (t *Announcements) Recall(holder Witness) Recalled {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known, ok := t.limits[holder]
-	return Recalled{Heard: ok || !t.forgot, Limits: maps.Clone(known)}
+	return false
 }
--- a/prepaid/witness_test.go
+++ b/prepaid/witness_test.go
@@ -9,7 +9,7 @@
 
 // witnessed returns a world in which process a has a witness and a statement that
 // lets it turn there.
-func witnessed() (*world, *process, prepaid.Witness) {
+func witnessed() (*world, *process, prepaid.Process) {
 	w := newWorld(44 * rate * int64(len(vms)))
 	for _, vm := range vms {
 		id := w.processes[vms[0]].id
@@ -129,7 +129,7 @@
 }
 
 func TestAnnouncedLimitsOnlyRise(t *testing.T) {
-	holder := prepaid.Witness{VM: "a", Incarnation: 1}
+	holder := prepaid.Process{VM: "a", Incarnation: 1}
 	memory := prepaid.NewAnnouncements()
 	if got := memory.Recall(holder); !got.Heard || got.Limits["w"] != 0 {
 		t.Fatalf("%+v", got)
@@ -146,12 +146,12 @@
 func TestAHolderThatMayBeForgottenIsNotHeard(t *testing.T) {
 	memory := prepaid.NewAnnouncements()
 	for i := range int64(1025) {
-		memory.Take(prepaid.Witness{VM: "a", Incarnation: i}, map[string]int64{"w": 1})
+		memory.Take(prepaid.Process{VM: "a", Incarnation: i}, map[string]int64{"w": 1})
 	}
-	if got := memory.Recall(prepaid.Witness{VM: "a", Incarnation: 3}); got.Heard {
+	if got := memory.Recall(prepaid.Process{VM: "a", Incarnation: 3}); got.Heard {
 		t.Fatal("a holder that was forgotten is heard")
 	}
-	if got := memory.Recall(prepaid.Witness{VM: "a", Incarnation: 1024}); !got.Heard {
+	if got := memory.Recall(prepaid.Process{VM: "a", Incarnation: 1024}); !got.Heard {
 		t.Fatal("the newest holder is not heard")
 	}
 }
