prepaid, direct: reserve credit at the few holders of a workspace

Change: the holders of a workspace are chosen by rendezvous hashing, minHolders spread over the failure domains. A router that isn't a holder, or whose grant is short, reserves credit at a holder over the peer service: there it counts like an own reservation, so that statement, witness and successor cover it. Settlements are sent until acknowledged; those of a process that ended count in full. Grants of others are opened on demand only. A holder's grant is out of reach while it restarts, as before.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -52,11 +52,10 @@
 	// firstByteAt is when the first event, or a response that is not a stream, was
 	// written.
 	firstByteAt time.Time
-	// reservedTokens are the prepaid tokens reserved for the request. mayHaveRun is
-	// set when an endpoint may have run the request, so that its prompt tokens are
-	// charged.
-	reservedTokens int64
-	mayHaveRun     bool
+	// reservation is the credit reserved for the request. mayHaveRun is set when an
+	// endpoint may have run the request, so that its prompt tokens are charged.
+	reservation reservation
+	mayHaveRun  bool
 }
 
 // pickerQuery returns the query by which the picker chooses an endpoint.
--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -114,6 +114,7 @@
 	}
 	g.router.ReplaceEndpoints(list)
 	g.router.ApplyConfig(testConfig())
+	g.router.credit.SetAssigned([]string{"coffee"}, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/direct/loads_test.go
+++ b/direct/loads_test.go
@@ -75,7 +75,7 @@
 		t.Fatal(err)
 	}
 	// The other router becomes known while a prompt is already unread.
-	first.peers.add(b, "b")
+	first.peers.add(b, "b", "fd")
 	eventually(t, "the unread prompt is reported", func() bool { return peerWaitingTokens(t, second) == 7_000 })
 	first.markPromptProcessed(choice)
 	eventually(t, "the processed prompt is removed", func() bool { return peerWaitingTokens(t, second) == 0 })
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -14,9 +14,16 @@
 	"jackdawswitch/rpc"
 )
 
-// witnessAvoidTime is how long a router that did not respond or that is draining is
-// not chosen as a witness. It is longer than a restart takes.
-const witnessAvoidTime = 3 * time.Second
+const (
+	// witnessAvoidTime is how long a router that did not respond or that is draining is
+	// not chosen as a witness. It is longer than a restart takes.
+	witnessAvoidTime = 3 * time.Second
+
+	// minCreditPause is how long a router is not asked for credit after a call that failed.
+	// It doubles with each further failure up to maxCreditPause.
+	minCreditPause = 250 * time.Millisecond
+	maxCreditPause = 8 * time.Second
+)
 
 // PeerError reports why a call to another router failed.
 type PeerError struct {
@@ -45,6 +52,13 @@
 	avoidUntil time.Time
 	// noRelayUntil is the time until which it is not asked to relay table calls.
 	noRelayUntil time.Time
+	// noCreditUntil is the time until which it is not asked for credit, and
+	// creditFailures the number of calls for credit that failed in a row.
+	noCreditUntil  time.Time
+	creditFailures int
+	// member is the router as a holder of credit. It is nil for routers that make no
+	// reservations for others.
+	member *prepaid.Member
 }
 
 // peers are the other routers of the fleet. They act as witnesses of this router's
@@ -60,12 +74,20 @@
 	// tableCaller makes table calls for other routers; nil if this router makes
 	// none.
 	tableCaller TableCaller
+	// lender reserves credit for requests at other routers.
+	lender *lender
 	// draining reports whether this process is draining, that is, about to stop.
 	draining func() bool
+	// member is this router as a holder of credit.
+	member prepaid.Member
 
 	mu sync.Mutex
 	// known are the other routers by VM.
 	known map[string]*peerRouter
+	// fleet are the routers that hold credit, this one included, and fleetChangedAt is the
+	// time of the last change.
+	fleet          *prepaid.Fleet
+	fleetChangedAt time.Time
 }
 
 var (
@@ -73,26 +95,107 @@
 	_ pb.DRPCRouterPeerServer = peerServer{}
 )
 
-func newPeers(self prepaid.ProcessID, network rpc.Network, endpoints *endpointSet, draining func() bool, logger *slog.Logger) *peers {
-	return &peers{
+func newPeers(self prepaid.ProcessID, failureDomain string, network rpc.Network, endpoints *endpointSet, draining func() bool, logger *slog.Logger) *peers {
+	p := &peers{
 		self: self, logger: logger, endpoints: endpoints, client: rpc.NewClient(network), announcements: prepaid.NewAnnouncements(),
-		draining: draining, known: make(map[string]*peerRouter),
+		draining: draining, member: prepaid.NewMember(self.VM, failureDomain), known: make(map[string]*peerRouter),
 	}
+	p.updateFleet()
+	return p
 }
 
 // add stores the address of the router process on another VM and replaces the process
-// that was known there. It ignores this router's own VM and empty addresses.
-func (p *peers) add(id prepaid.ProcessID, address string) {
+// that was known there. It ignores this router's own VM and empty addresses. A router
+// without a failure domain is of a version that makes no reservations of credit for
+// others.
+func (p *peers) add(id prepaid.ProcessID, address, failureDomain string) {
 	if id.VM == p.self.VM || address == "" {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if known := p.known[id.VM]; known != nil && known.id == id {
+	last := p.known[id.VM]
+	if last != nil && last.id == id {
 		return
 	}
-	p.known[id.VM] = &peerRouter{id: id, address: address}
+	known := &peerRouter{id: id, address: address}
+	if failureDomain != "" {
+		member := prepaid.NewMember(id.VM, failureDomain)
+		known.member = &member
+	}
+	p.known[id.VM] = known
+	if last == nil || last.member == nil || known.member == nil || last.member.FailureDomain != failureDomain {
+		p.updateFleet()
+	}
 	p.logger.Info("peer router added", "vm", id.VM, "incarnation", id.Incarnation, "address", address)
+	if last != nil && p.lender != nil {
+		p.lender.processEnded(last.id)
+	}
+}
+
+// updateFleet sets the fleet to this router and the known ones. The caller holds p.mu, or
+// nobody else knows p.
+func (p *peers) updateFleet() {
+	members := []prepaid.Member{p.member}
+	for _, known := range p.known {
+		if known.member != nil {
+			members = append(members, *known.member)
+		}
+	}
+	p.fleet, p.fleetChangedAt = prepaid.NewFleet(members), time.Now()
+}
+
+// currentFleet returns the routers that hold credit and the time since they changed.
+func (p *peers) currentFleet() (fleet *prepaid.Fleet, unchangedFor time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet, time.Since(p.fleetChangedAt)
+}
+
+// creditCandidates returns up to limit other holders of a workspace that are worth a call,
+// in the order in which this router asks them.
+func (p *peers) creditCandidates(workspace string, limit int) []prepaid.ProcessID {
+	fleet, _ := p.currentFleet()
+	candidates := fleet.Candidates(workspace, p.member)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	out := make([]prepaid.ProcessID, 0, limit)
+	for _, member := range candidates {
+		known := p.known[member.VM]
+		if known == nil || now.Before(known.noCreditUntil) {
+			continue
+		}
+		if out = append(out, known.id); len(out) == limit {
+			break
+		}
+	}
+	return out
+}
+
+// creditCallFailed excludes a router from calls for credit, for longer with each failure
+// in a row.
+func (p *peers) creditCallFailed(id prepaid.ProcessID) {
+	p.update(id, func(known *peerRouter) {
+		pause := min(minCreditPause<<known.creditFailures, maxCreditPause)
+		known.noCreditUntil = time.Now().Add(pause)
+		if pause < maxCreditPause {
+			known.creditFailures++
+		}
+	})
+}
+
+// creditCallSucceeded ends the exclusion of a router from calls for credit.
+func (p *peers) creditCallSucceeded(id prepaid.ProcessID) {
+	p.update(id, func(known *peerRouter) { known.creditFailures, known.noCreditUntil = 0, time.Time{} })
+}
+
+// hasEnded reports whether another process is known to run on the VM of a process.
+func (p *peers) hasEnded(id prepaid.ProcessID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[id.VM]
+	return known == nil || known.id != id
 }
 
 // ChooseWitness implements prepaid.Witnesses.
--- a/direct/peers_test.go
+++ b/direct/peers_test.go
@@ -17,7 +17,7 @@
 // servePeer starts the peer server of a router on a host of the network.
 func servePeer(t *testing.T, network *memnet.Network, id prepaid.ProcessID, draining *atomic.Bool) *peers {
 	t.Helper()
-	p := newPeers(id, network.Host(id.VM), newEndpointSet("fd", slog.New(slog.DiscardHandler)), draining.Load, slog.New(slog.DiscardHandler))
+	p := newPeers(id, "fd", network.Host(id.VM), newEndpointSet("fd", slog.New(slog.DiscardHandler)), draining.Load, slog.New(slog.DiscardHandler))
 	listener, err := network.Host(id.VM).Listen(id.VM)
 	if err != nil {
 		t.Fatal(err)
@@ -57,8 +57,8 @@
 	if _, err := p.Announce(ctx, witness, nil); !errors.As(err, &perr) {
 		t.Fatalf("announcement to an unknown router: got error %v, want a PeerError", err)
 	}
-	p.add(holder, "a")
-	p.add(witness, "b")
+	p.add(holder, "a", "fd")
+	p.add(witness, "b", "fd")
 	if got, ok := p.ChooseWitness(); !ok || got != witness {
 		t.Fatalf("chosen witness: %+v", got)
 	}
@@ -89,7 +89,7 @@
 	network := memnet.New()
 	p := servePeer(t, network, prepaid.ProcessID{VM: "a", Incarnation: 1}, &atomic.Bool{})
 	for _, vm := range []string{"b", "c"} {
-		p.add(prepaid.ProcessID{VM: vm, Incarnation: 5}, vm)
+		p.add(prepaid.ProcessID{VM: vm, Incarnation: 5}, vm, "fd")
 	}
 	first, _ := p.ChooseWitness()
 	if _, err := p.Announce(context.Background(), first, nil); err == nil {
--- a/direct/relaycall_test.go
+++ b/direct/relaycall_test.go
@@ -36,9 +36,9 @@
 		id := prepaid.ProcessID{VM: vm, Incarnation: 1}
 		callers[vm] = &fakeTableCaller{}
 		servePeer(t, network, id, &atomic.Bool{}).tableCaller = callers[vm]
-		self.add(id, vm)
+		self.add(id, vm, "fd")
 	}
-	self.add(prepaid.ProcessID{VM: "gone", Incarnation: 1}, "gone")
+	self.add(prepaid.ProcessID{VM: "gone", Incarnation: 1}, "gone", "fd")
 	call := TableCall{Method: "POST", Target: "/x?y=1", Body: []byte("z")}
 	ctx := context.Background()
 
--- a/direct/router.go
+++ b/direct/router.go
@@ -11,8 +11,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,15 @@
 )
 
 const (
+	// assignInterval is how often the assignment of accounts is compared with the fleet,
+	// and fleetSettleTime how long the fleet must be unchanged before.
+	assignInterval  = 200 * time.Millisecond
+	fleetSettleTime = time.Second
+
+	// lentCreditCheckInterval is how often a draining router checks for the end of the
+	// reservations for other routers.
+	lentCreditCheckInterval = 50 * time.Millisecond
+
 	// endpointExpiryInterval is how often expired endpoints and stale loads of other
 	// routers are dropped.
 	endpointExpiryInterval = 100 * time.Millisecond
@@ -37,8 +48,9 @@
 
 	// grantReturnTime is the part of the shutdown grace reserved for returning
 	// grants: some tens of calls of about 10 ms each. In-flight requests may run
-	// until it starts.
-	grantReturnTime = 800 * time.Millisecond
+	// until it starts, and until the settlements at other routers, which take up to
+	// settleTimeout.
+	grantReturnTime = 600 * time.Millisecond
 
 	// processExitTime is the part of the shutdown grace reserved for the exit of the
 	// process after that.
@@ -73,8 +85,10 @@
 	logger    *slog.Logger
 	metrics   *metrics
 	transport *http.Transport
-	credit    *prepaid.Service
-	retries   *retryBudgets
+	// credit keeps this router's grants. Requests reserve their credit from fleetCredit.
+	credit      *prepaid.Service
+	fleetCredit *fleetCredit
+	retries     *retryBudgets
 	// quarantine stops requests that crash endpoints from running again.
 	quarantine *quarantine
 	peers      *peers
@@ -96,12 +110,16 @@
 		retries:     newRetryBudgets(opts.Settings.MaxRetryShare),
 	}
 	self := prepaid.ProcessID{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
-	r.peers = newPeers(self, opts.Network, r.endpointSet, r.draining.Load, opts.Logger)
+	r.peers = newPeers(self, opts.Settings.FailureDomain, opts.Network, r.endpointSet, r.draining.Load, opts.Logger)
 	r.peers.tableCaller = opts.TableCaller
 	r.credit = prepaid.NewService(prepaid.Options{
 		VM: self.VM, Incarnation: self.Incarnation, Policy: prepaid.DefaultPolicy(),
 		Table: opts.Table, Witnesses: r.peers, Logger: opts.Logger, Metrics: opts.Metrics,
 	})
+	// No account is assigned until the fleet is known: see assignAccounts.
+	r.credit.SetAssigned(nil, 0)
+	r.peers.lender = newLender(r.credit, opts.Logger)
+	r.fleetCredit = newFleetCredit(r.credit, r.peers, opts.Logger, opts.Metrics)
 	r.quarantine = &quarantine{crashTracker: newCrashTracker(), router: r}
 	return r
 }
@@ -157,6 +175,7 @@
 	taskCtx, stopTasks := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.credit.Run(taskCtx) })
+	tasks.Go(func() { r.assignAccounts(taskCtx) })
 	tasks.Go(func() { r.expireEndpoints(taskCtx) })
 	tasks.Go(func() { r.publishRouterRecord(taskCtx) })
 	tasks.Go(func() { r.servePeers(taskCtx, peerListener) })
@@ -167,6 +186,7 @@
 	case <-ctx.Done():
 		err = r.drain(callerServer)
 	}
+	r.fleetCredit.settler.close()
 	stopTasks()
 	tasks.Wait()
 	returnCtx, cancel := context.WithTimeout(context.Background(), grantReturnTime)
@@ -176,6 +196,31 @@
 	return err
 }
 
+// assignAccounts keeps the accounts that this router holds up to date until ctx ends. It
+// waits until the fleet has not changed for a while, as routers that start together come
+// to know each other one by one.
+func (r *Router) assignAccounts(ctx context.Context) {
+	ticker := time.NewTicker(assignInterval)
+	defer ticker.Stop()
+	var lastFleet *prepaid.Fleet
+	var lastConfig *compiledConfig
+	for {
+		fleet, unchangedFor := r.peers.currentFleet()
+		cfg := r.config.Load()
+		if cfg != nil && unchangedFor >= fleetSettleTime && (fleet != lastFleet || cfg != lastConfig) {
+			lastFleet, lastConfig = fleet, cfg
+			assigned, holders := fleet.Assigned(r.opts.Settings.VM, slices.Sorted(maps.Keys(cfg.budgets)))
+			r.credit.SetAssigned(assigned, holders)
+			r.logger.Info("accounts assigned", "accounts", len(assigned), "holders", holders, "config_version", cfg.version)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // servePeers serves the calls of other routers until ctx ends.
 func (r *Router) servePeers(ctx context.Context, listener net.Listener) {
 	server := rpc.NewServer()
@@ -217,13 +262,27 @@
 		r.logger.Warn("in-flight requests cut off near the end of the shutdown grace", "error", err.Error())
 		return callerServer.Close()
 	}
+	r.awaitLentCredit(drainCtx)
 	return nil
 }
 
+// awaitLentCredit waits for the end of the reservations for requests at other routers.
+// Those that are still open when the grants are returned count in full.
+func (r *Router) awaitLentCredit(ctx context.Context) {
+	for r.peers.lender.count() > 0 {
+		select {
+		case <-ctx.Done():
+			r.logger.Warn("credit reserved for other routers charged in full", "reservations", r.peers.lender.count())
+			return
+		case <-time.After(lentCreditCheckInterval):
+		}
+	}
+}
+
 // inFlightTimeout returns how long in-flight requests may run on after the request
 // to stop.
 func inFlightTimeout(grace time.Duration) time.Duration {
-	return max(grace-grantReturnTime-processExitTime, grace/2)
+	return max(grace-settleTimeout-grantReturnTime-processExitTime, grace/2)
 }
 
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/direct/router_test.go
+++ b/direct/router_test.go
@@ -272,7 +272,7 @@
 // the process must fit into that.
 func TestInFlightRequestsRunUntilTheLastPartOfTheGrace(t *testing.T) {
 	for _, grace := range []time.Duration{8 * time.Second, 20 * time.Second} {
-		if inFlight := inFlightTimeout(grace); inFlight < grace*5/6 || inFlight+grantReturnTime+processExitTime > grace {
+		if inFlight := inFlightTimeout(grace); inFlight < grace*5/6 || inFlight+settleTimeout+grantReturnTime+processExitTime > grace {
 			t.Errorf("with a grace of %s in-flight requests may run for %s", grace, inFlight)
 		}
 	}
--- a/direct/routerrecord.go
+++ b/direct/routerrecord.go
@@ -30,6 +30,8 @@
 	Incarnation int64 `json:"incarnation"`
 	// Address is the host:port of the router's peer listener.
 	Address string `json:"address"`
+	// FailureDomain is the failure domain of the VM.
+	FailureDomain string `json:"failureDomain,omitempty"`
 	// Crashes are the router's own crash entries.
 	Crashes []crashEntry `json:"crashes,omitempty"`
 }
@@ -70,7 +72,7 @@
 		r.logger.Warn("invalid router record ignored", "vm", vm, "error", err.Error())
 		return
 	}
-	r.peers.add(prepaid.ProcessID{VM: vm, Incarnation: record.Incarnation}, record.Address)
+	r.peers.add(prepaid.ProcessID{VM: vm, Incarnation: record.Incarnation}, record.Address, record.FailureDomain)
 	r.quarantine.merge(record.Crashes, vm == r.opts.Settings.VM)
 }
 
@@ -115,7 +117,10 @@
 	if len(rows) > 0 {
 		version = rows[0].Version
 	}
-	value, err := json.Marshal(routerRecord{Incarnation: r.opts.Incarnation, Address: r.opts.Settings.PeerAddress, Crashes: crashes})
+	value, err := json.Marshal(routerRecord{
+		Incarnation: r.opts.Incarnation, Address: r.opts.Settings.PeerAddress,
+		FailureDomain: r.opts.Settings.FailureDomain, Crashes: crashes,
+	})
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -152,23 +152,24 @@
 		return refusal.NotRun(refusal.CauseInternal, "no write deadline").WithError(err)
 	}
 	tokens := x.meta.PromptTokens + x.meta.MaxOutputTokens
-	if _, limited := x.config.budgets[x.workspace]; !limited || tokens == 0 {
+	budget, limited := x.config.budgets[x.workspace]
+	if !limited || tokens == 0 {
 		return nil
 	}
-	result := r.credit.Reserve(ctx, x.workspace, tokens, creditWaitTimeout)
-	if result == prepaid.Reserved {
-		x.reservedTokens = tokens
+	answer := r.fleetCredit.reserve(ctx, creditRequest{id: x.meta.ID, workspace: x.workspace, tokens: tokens, budget: budget})
+	if answer.result == prepaid.Reserved {
+		x.reservation = answer.reservation
 		return nil
 	}
 	account := r.credit.Describe(x.workspace)
 	r.logger.Info("credit not reserved", "request", x.meta.ID, "workspace", x.workspace, "tokens", tokens,
 		"available", account.Available, "unspent", account.Unspent, "ungranted", account.Ungranted,
 		"age_ms", account.RowAge.Milliseconds(), "statement_age_ms", account.StatementAge.Milliseconds(),
-		"exhausted", result == prepaid.Exhausted)
-	if result == prepaid.Exhausted {
+		"holders_answered", answer.answered, "holders_failed", answer.failed, "exhausted", answer.result == prepaid.Exhausted)
+	if answer.result == prepaid.Exhausted {
 		return refusal.NotRun(refusal.CauseCreditExhausted, "workspace %s", x.workspace)
 	}
-	retryAfter := r.credit.AvailableIn(x.workspace, tokens)
+	retryAfter := answer.retryAfter
 	if retryAfter == 0 {
 		retryAfter = creditRetryAfter
 	}
@@ -178,11 +179,11 @@
 // settleCredit replaces the reservation by the tokens used: the prompt tokens if the
 // request may have run, and the output tokens delivered.
 func (x *exchange) settleCredit() {
-	if x.reservedTokens == 0 {
+	if x.reservation.tokens == 0 {
 		return
 	}
-	x.router.credit.Settle(x.workspace, x.reservedTokens, x.tokensUsed())
-	x.reservedTokens = 0
+	x.router.fleetCredit.settle(x.reservation, x.tokensUsed())
+	x.reservation = reservation{}
 }
 
 func (x *exchange) tokensUsed() int64 {
@@ -213,8 +214,8 @@
 		"config_version", x.configVersion(), "state", x.progress.state, "attempts", len(x.excluded),
 		"events", x.eventCount, "elapsed_ms", elapsed.Milliseconds(),
 	}
-	if x.reservedTokens > 0 {
-		fields = append(fields, "tokens_reserved", x.reservedTokens, "tokens_used", x.tokensUsed())
+	if x.reservation.tokens > 0 {
+		fields = append(fields, "tokens_reserved", x.reservation.tokens, "tokens_used", x.tokensUsed(), "credit_holder", x.reservation.holder.VM)
 	}
 	if !x.firstByteAt.IsZero() {
 		fields = append(fields, "first_ms", x.firstByteAt.Sub(x.started).Milliseconds())
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -19,11 +19,11 @@
 	MaxGrantShare float64
 	// RefillShare is the share of its target below which a grant is refilled.
 	RefillShare float64
-	// MaxEagerAccounts is the number of accounts up to which grants of all accounts are
-	// held, also before their first request.
+	// MaxEagerAccounts is the number of accounts up to which a process is assigned to all
+	// of them if it isn't told otherwise (see Book.SetAssigned).
 	MaxEagerAccounts int
-	// IdleAfter is the time without a request after which a grant is closed if there are
-	// more than MaxEagerAccounts accounts.
+	// IdleAfter is the time without a request after which a grant is closed if the process
+	// isn't assigned to the workspace.
 	IdleAfter time.Duration
 }
 
@@ -111,6 +111,11 @@
 	plannedAt time.Time
 	// usedAt is when a request last asked for credit.
 	usedAt time.Time
+	// hasPredecessor is set until the row was found to hold no grant of an earlier process
+	// of the VM.
+	hasPredecessor bool
+	// assigned is set if the grant is kept open also without requests.
+	assigned bool
 	// closingSpent is the part of spent that a write in progress retires along with the
 	// grant.
 	closingSpent int64
--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -12,7 +12,6 @@
 package prepaid
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -36,10 +35,14 @@
 	incarnation int64
 	policy      Policy
 	accounts    map[string]*account
-	// active holds the accounts that are in use or have a grant. If there are at most
-	// MaxEagerAccounts accounts, it holds all of them, so that their grants are opened
-	// before the first request.
+	// active holds the accounts that are assigned, in use or have a grant.
 	active map[string]*account
+	// assigned are the workspaces whose grants are kept open also without requests, and
+	// holders is the number of processes to which each of them is assigned. Until
+	// SetAssigned is called, assigned is nil and all accounts are assigned, unless there
+	// are more than MaxEagerAccounts accounts.
+	assigned map[string]bool
+	holders  int
 
 	// started is set once the predecessor's statement is known.
 	started bool
@@ -90,28 +93,76 @@
 		}
 		a.budget = budget
 	}
-	if b.allActive() {
-		maps.Copy(b.active, b.accounts)
+	b.activateAssigned()
+	b.activatePredecessors()
+}
+
+// SetAssigned sets the workspaces whose grants this process keeps open also without
+// requests, and the number of processes to which each of them is assigned. The grants of
+// other workspaces are opened on demand and closed once they are idle.
+func (b *Book) SetAssigned(workspaces []string, holders int) {
+	b.assigned, b.holders = make(map[string]bool, len(workspaces)), holders
+	for _, workspace := range workspaces {
+		b.assigned[workspace] = true
 	}
+	b.activateAssigned()
 }
 
-// allActive reports whether there are so few accounts that all are kept active.
-func (b *Book) allActive() bool { return len(b.accounts) <= b.policy.MaxEagerAccounts }
+// activateAssigned makes the assigned accounts active.
+func (b *Book) activateAssigned() {
+	for workspace, a := range b.accounts {
+		a.assigned = b.assigned[workspace] || b.assigned == nil && len(b.accounts) <= b.policy.MaxEagerAccounts
+		if a.assigned {
+			b.active[workspace] = a
+		}
+	}
+}
+
+// activatePredecessors makes the accounts active whose row has to be read once because
+// earlier processes of the VM may have left a grant in it.
+func (b *Book) activatePredecessors() {
+	for _, spent := range b.predecessorSpent {
+		for workspace := range spent {
+			if a := b.accounts[workspace]; a != nil && !a.hasRow {
+				a.hasPredecessor = true
+				b.active[workspace] = a
+			}
+		}
+	}
+}
+
+// Holds reports whether the process has a grant of a workspace or is assigned to it.
+func (b *Book) Holds(workspace string) bool {
+	a := b.accounts[workspace]
+	return a != nil && (a.assigned || a.amount > 0)
+}
 
 // idle reports whether an account's grant should be closed because it isn't used.
 func (b *Book) idle(now time.Time, a *account) bool {
-	return !b.allActive() && a.reserved == 0 && now.Sub(a.usedAt) > b.policy.IdleAfter
+	return !a.assigned && a.reserved == 0 && now.Sub(a.usedAt) > b.policy.IdleAfter
 }
 
-// Reserve holds tokens for a request: the most that it can use.
+// Reserve holds tokens for a request: the most that it can use. If the grant doesn't cover
+// them, the next update of the account refills it.
 func (b *Book) Reserve(now time.Time, workspace string, tokens int64) ReserveResult {
+	result := b.TryReserve(now, workspace, tokens)
+	if a := b.accounts[workspace]; a != nil && result != Reserved {
+		a.usedAt = now
+		b.active[workspace] = a
+		a.unmet = max(a.unmet, tokens)
+	}
+	return result
+}
+
+// TryReserve is like Reserve but doesn't refill the grant, as another process may cover
+// the request.
+func (b *Book) TryReserve(now time.Time, workspace string, tokens int64) ReserveResult {
 	a := b.accounts[workspace]
 	if a == nil {
 		return Exhausted
 	}
-	a.usedAt = now
-	b.active[workspace] = a
 	if b.available(now, workspace, a) >= tokens {
+		a.usedAt = now
 		a.reserved += tokens
 		a.observe(now, tokens)
 		if tokens >= a.unmet {
@@ -119,7 +170,6 @@
 		}
 		return Reserved
 	}
-	a.unmet = max(a.unmet, tokens)
 	if a.hasRow && now.Sub(a.readAt) <= maxExhaustedRowAge && b.remaining(a) < tokens {
 		return Exhausted
 	}
@@ -165,7 +215,7 @@
 // at the routers of one failure domain. The process's own spending is taken as
 // reported too, so that the shares of all processes add up.
 func (b *Book) spendingShare(a *account) float64 {
-	equal := 1 / float64(max(len(a.row.Grants), 1))
+	equal := 1 / float64(max(len(a.row.Grants), b.holders, 1))
 	reported := int64(0)
 	for _, g := range a.row.Grants {
 		reported += g.Spent
@@ -191,7 +241,7 @@
 		return nil
 	}
 	for workspace, a := range b.active {
-		if b.idle(now, a) && a.amount == 0 && a.spent == 0 && !a.unresolved && !a.stale {
+		if b.idle(now, a) && a.amount == 0 && a.spent == 0 && !a.unresolved && !a.stale && !a.hasPredecessor {
 			delete(b.active, workspace)
 			continue
 		}
@@ -210,7 +260,7 @@
 
 // accountDue reports whether an account has to be read now.
 func (b *Book) accountDue(now time.Time, a *account) bool {
-	if !a.hasRow || a.unresolved || a.stale || b.idle(now, a) {
+	if !a.hasRow || a.unresolved || a.stale || a.hasPredecessor || b.idle(now, a) {
 		return true
 	}
 	if a.unmet > a.unspent() {
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -69,6 +69,13 @@
 				w.now = w.now.Add(d)
 				w.processes[vm].paused += d
 			}),
+			"assign": on(func(t *rapid.T, vm string) {
+				var assigned []string
+				if rapid.Bool().Draw(t, "holds") {
+					assigned = []string{workspace}
+				}
+				w.processes[vm].book.SetAssigned(assigned, rapid.IntRange(0, 5).Draw(t, "holders"))
+			}),
 			"land":  w.landPendingWrite,
 			"raise": func(t *rapid.T) { w.raiseBudget(rapid.Int64Range(0, 1000).Draw(t, "more")) },
 			"wait": func(t *rapid.T) {
@@ -351,3 +358,25 @@
 		t.Fatalf("the idle grant is still held: %+v", w.account.row)
 	}
 }
+
+// TestSuccessorThatIsNotAssignedReturnsThePredecessorsGrant guards against credit that
+// nobody can use: the fleet changed while a holder was down, so that its successor is no
+// longer a holder and gets no request for the workspace.
+func TestSuccessorThatIsNotAssignedReturnsThePredecessorsGrant(t *testing.T) {
+	w := newWorld(100_000)
+	w.openGrants()
+	spent := w.spendAll(w.processes["a"])
+	held := w.account.row.Grants["a"].Amount
+	w.kill("a")
+	w.processes["a"].book.SetAssigned(nil, 2)
+	for range 5 {
+		w.now = w.now.Add(50 * time.Millisecond)
+		w.renewDue("a")
+	}
+	if _, holds := w.account.row.Grants["a"]; holds || w.account.row.Retired < spent || w.account.row.Retired >= held {
+		t.Fatalf("%d tokens of a grant of %d were spent, but the row is %+v", spent, held, w.account.row)
+	}
+	if due := w.processes["a"].book.AccountsDue(w.now); len(due) != 0 {
+		t.Fatalf("accounts due after the grant was returned: %v", due)
+	}
+}
--- a/prepaid/plan.go
+++ b/prepaid/plan.go
@@ -36,9 +36,7 @@
 	reportDue := float64(a.spent+a.reserved-own.Spent) > reportShare*float64(a.budget)
 	unchanged := amount == own.Amount && own.Incarnation == b.incarnation && !a.unresolved && !b.scarce(a) && !reportDue
 	nothingToGrant := amount == 0 && own.Amount == 0 && unmet == 0 && version > 0
-	last, held := row.Grants[b.vm]
-	retiresPredecessor := held && last.Incarnation != b.incarnation
-	if (unchanged || nothingToGrant) && !retiresPredecessor {
+	if (unchanged || nothingToGrant) && !b.hasPredecessorGrant(&row) {
 		return nil
 	}
 	next.Grants[b.vm] = Grant{Incarnation: b.incarnation, Amount: amount, Spent: a.spent + a.reserved}
@@ -47,6 +45,12 @@
 	return &Write{Workspace: workspace, Row: next, Version: version, amount: amount}
 }
 
+// hasPredecessorGrant reports whether the row has a grant of an earlier process of the VM.
+func (b *Book) hasPredecessorGrant(row *Row) bool {
+	g, held := row.Grants[b.vm]
+	return held && g.Incarnation != b.incarnation
+}
+
 // ownGrant returns the process's grant in the row. If the row has a predecessor's grant,
 // ownGrant removes it and retires what its last statement allowed, or all of it if that
 // isn't known.
@@ -71,6 +75,7 @@
 		a.firstReadAt = now
 	}
 	a.row, a.version, a.readAt, a.hasRow, a.stale = row, version, now, true, false
+	a.hasPredecessor = b.hasPredecessorGrant(&row)
 	if a.unresolved && version == a.unresolvedVersion {
 		return
 	}
@@ -103,7 +108,7 @@
 func (b *Book) WriteCommitted(now time.Time, w *Write, version uint64) {
 	a := b.accounts[w.Workspace]
 	a.row, a.version, a.readAt, a.hasRow = w.Row, version, now, true
-	a.unresolved = false
+	a.unresolved, a.hasPredecessor = false, false
 	b.predecessorRetired(w.Workspace)
 	if w.closesGrant {
 		a.grantClosed()
@@ -139,10 +144,11 @@
 }
 
 // planGrantClose returns the write that closes the grant and retires the tokens spent and
-// reserved from it, nil if there is no grant. From then on nothing is spent from it.
+// reserved from it, or the grant of a predecessor, nil if there is neither. From then on
+// nothing is spent from it.
 func (b *Book) planGrantClose(a *account, workspace string, row Row, version uint64) *Write {
 	next := row.clone()
-	if own := b.ownGrant(workspace, &next); own.Amount == 0 {
+	if own := b.ownGrant(workspace, &next); own.Amount == 0 && !b.hasPredecessorGrant(&row) {
 		return nil
 	}
 	delete(next.Grants, b.vm)
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -126,6 +126,30 @@
 	s.wake()
 }
 
+// SetAssigned sets the workspaces whose grants are kept open also without requests, and
+// the number of processes to which each of them is assigned.
+func (s *Service) SetAssigned(workspaces []string, holders int) {
+	s.mu.Lock()
+	s.book.SetAssigned(workspaces, holders)
+	s.mu.Unlock()
+	s.wake()
+}
+
+// Holds reports whether the process has a grant of a workspace or is assigned to it.
+func (s *Service) Holds(workspace string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Holds(workspace)
+}
+
+// TryReserve holds tokens for a request if the grant covers them now. It doesn't refill
+// the grant otherwise.
+func (s *Service) TryReserve(workspace string, tokens int64) ReserveResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.TryReserve(time.Now(), workspace, tokens)
+}
+
 // wake makes Run check for due work.
 func (s *Service) wake() {
 	select {
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -247,6 +247,7 @@
 	}
 	b.started = true
 	b.predecessorSpent = last.spentBounds(tableNow, recalled)
+	b.activatePredecessors()
 	b.statementVersion = version
 }
 
--- a/prepaid/world_test.go
+++ b/prepaid/world_test.go
@@ -232,7 +232,11 @@
 func (w *world) reserve(t *rapid.T, vm string) {
 	p := w.processes[vm]
 	tokens := rapid.Int64Range(1, 400).Draw(t, "tokens")
-	if p.book.Reserve(w.processClock(p), workspace, tokens) == prepaid.Reserved {
+	reserve := p.book.Reserve
+	if rapid.Bool().Draw(t, "try") {
+		reserve = p.book.TryReserve
+	}
+	if reserve(w.processClock(p), workspace, tokens) == prepaid.Reserved {
 		p.inFlight = append(p.inFlight, tokens)
 	}
 }
