direct: play lent credit over a network that loses and reorders calls

Cause: a reservation at another router may be settled before it is made, be repeated, or outlive the process that asked for it; each would overspend or strand credit.

--- a/direct/lender.go
+++ b/direct/lender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"sync"
 	"time"
 
@@ -15,9 +16,11 @@
 	// above the requests in flight of a large fleet.
 	maxLentReservations = 1 << 16
 
-	// earlySettlementAge is how long a settlement is kept that came before its
-	// reservation. It is longer than a call can be delayed by a paused process.
-	earlySettlementAge = 30 * time.Second
+	// maxCallDelay is how long a call may be delayed by a paused process. Settled
+	// reservations and ended processes are remembered for that time, and removed each
+	// sweepInterval.
+	maxCallDelay  = 30 * time.Second
+	sweepInterval = time.Second
 
 	// maxCreditWait bounds how long a call waits for a refill of the grant.
 	maxCreditWait = time.Second
@@ -35,24 +38,34 @@
 	tokens    int64
 }
 
-// lender reserves credit of this router's grants for requests at other routers.
+// grants reserve credit from a router's own grants. It is implemented by prepaid.Service.
+type grants interface {
+	Reserve(ctx context.Context, workspace string, tokens int64, wait time.Duration) prepaid.ReserveResult
+	TryReserve(workspace string, tokens int64) prepaid.ReserveResult
+	Settle(workspace string, reserved, used int64)
+}
+
+// lender reserves credit of this router's grants for requests at other routers. Calls may
+// be lost, delayed and repeated: a reservation counts in full until it is settled or the
+// process that asked for it has ended.
 type lender struct {
-	service *prepaid.Service
-	logger  *slog.Logger
+	grants grants
+	logger *slog.Logger
 
 	mu   sync.Mutex
 	held map[lentKey]lentReservation
-	// settledEarly are settlements that came before their reservation, by their time.
-	settledEarly map[lentKey]time.Time
-	// ended is the last process of each VM that is known to have ended, by its
-	// incarnation.
-	ended map[string]int64
+	// settled are the settled reservations by the time of their settlement, which may come
+	// before the reservation.
+	settled map[lentKey]time.Time
+	// ended are the processes of other VMs that ended, by the time when that became known.
+	ended   map[prepaid.ProcessID]time.Time
+	sweptAt time.Time
 }
 
-func newLender(service *prepaid.Service, logger *slog.Logger) *lender {
+func newLender(grants grants, logger *slog.Logger) *lender {
 	return &lender{
-		service: service, logger: logger, held: make(map[lentKey]lentReservation),
-		settledEarly: make(map[lentKey]time.Time), ended: make(map[string]int64),
+		grants: grants, logger: logger, held: make(map[lentKey]lentReservation),
+		settled: make(map[lentKey]time.Time), ended: make(map[prepaid.ProcessID]time.Time),
 	}
 }
 
@@ -64,12 +77,12 @@
 	}
 	var result prepaid.ReserveResult
 	if wait <= 0 {
-		result = l.service.TryReserve(r.workspace, r.tokens)
+		result = l.grants.TryReserve(r.workspace, r.tokens)
 	} else {
-		result = l.service.Reserve(ctx, r.workspace, r.tokens, min(wait, maxCreditWait))
+		result = l.grants.Reserve(ctx, r.workspace, r.tokens, min(wait, maxCreditWait))
 	}
 	if result == prepaid.Reserved && !l.record(key, r) {
-		l.service.Settle(r.workspace, r.tokens, 0)
+		l.grants.Settle(r.workspace, r.tokens, 0)
 		return prepaid.Short
 	}
 	return result
@@ -88,8 +101,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_, made := l.held[key]
-	_, settled := l.settledEarly[key]
-	if made || settled || l.ended[key.from.VM] == key.from.Incarnation {
+	_, settled := l.settled[key]
+	_, ended := l.ended[key.from]
+	if made || settled || ended {
 		return false
 	}
 	l.held[key] = r
@@ -101,24 +115,24 @@
 func (l *lender) settle(key lentKey, used int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, ok := l.held[key]
-	if !ok {
-		l.dropEarlySettlements()
-		l.settledEarly[key] = time.Now()
-		return
+	l.sweep()
+	l.settled[key] = time.Now()
+	if r, ok := l.held[key]; ok {
+		delete(l.held, key)
+		l.grants.Settle(r.workspace, r.tokens, max(used, 0))
 	}
-	delete(l.held, key)
-	l.service.Settle(r.workspace, r.tokens, max(used, 0))
 }
 
-// dropEarlySettlements removes settlements whose reservation won't come any more. The
-// caller holds the lock.
-func (l *lender) dropEarlySettlements() {
-	for key, at := range l.settledEarly {
-		if time.Since(at) > earlySettlementAge || len(l.settledEarly) >= maxLentReservations {
-			delete(l.settledEarly, key)
-		}
+// sweep removes what is older than any call that may still come. The caller holds the
+// lock.
+func (l *lender) sweep() {
+	if time.Since(l.sweptAt) < sweepInterval {
+		return
 	}
+	l.sweptAt = time.Now()
+	isOld := func(at time.Time) bool { return l.sweptAt.Sub(at) > maxCallDelay }
+	maps.DeleteFunc(l.settled, func(_ lentKey, at time.Time) bool { return isOld(at) })
+	maps.DeleteFunc(l.ended, func(_ prepaid.ProcessID, at time.Time) bool { return isOld(at) })
 }
 
 // processEnded charges the open reservations of a process that has ended in full, as its
@@ -126,12 +140,13 @@
 func (l *lender) processEnded(from prepaid.ProcessID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.ended[from.VM] = from.Incarnation
+	l.sweep()
+	l.ended[from] = time.Now()
 	charged := int64(0)
 	for key, r := range l.held {
 		if key.from == from {
 			delete(l.held, key)
-			l.service.Settle(r.workspace, r.tokens, r.tokens)
+			l.grants.Settle(r.workspace, r.tokens, r.tokens)
 			charged += r.tokens
 		}
 	}
@@ -149,7 +164,7 @@
 
 // ReserveCredit implements pb.DRPCRouterPeerServer.
 func (s peerServer) ReserveCredit(ctx context.Context, req *pb.ReserveCreditRequest) (*pb.ReserveCreditResponse, error) {
-	account := s.lender.service.Describe(req.GetWorkspace())
+	account := s.credit.Describe(req.GetWorkspace())
 	if fromProcessID(req.GetHolder()) != s.self || s.draining() || account.Budget == 0 || req.GetTokens() <= 0 {
 		return &pb.ReserveCreditResponse{Result: pb.ReserveCreditResponse_RESULT_UNAVAILABLE}, nil
 	}
@@ -158,7 +173,7 @@
 	r := lentReservation{workspace: req.GetWorkspace(), tokens: req.GetTokens()}
 	result := s.lender.reserve(ctx, key, r, wait)
 	if result != prepaid.Reserved && wait > 0 {
-		account = s.lender.service.Describe(r.workspace)
+		account = s.credit.Describe(r.workspace)
 		s.logger.Info("credit not reserved for another router", "request", req.GetRequest(), "vm", key.from.VM, "workspace", r.workspace,
 			"tokens", r.tokens, "available", account.Available, "unspent", account.Unspent, "ungranted", account.Ungranted,
 			"age_ms", account.RowAge.Milliseconds(), "statement_age_ms", account.StatementAge.Milliseconds(), "exhausted", result == prepaid.Exhausted)
@@ -171,7 +186,7 @@
 	default:
 		return &pb.ReserveCreditResponse{
 			Result:       pb.ReserveCreditResponse_RESULT_SHORT,
-			RetryAfterMs: s.lender.service.AvailableIn(r.workspace, r.tokens).Milliseconds(),
+			RetryAfterMs: s.credit.AvailableIn(r.workspace, r.tokens).Milliseconds(),
 		}, nil
 	}
 }
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -74,7 +74,9 @@
 	// tableCaller makes table calls for other routers; nil if this router makes
 	// none.
 	tableCaller TableCaller
-	// lender reserves credit for requests at other routers.
+	// credit keeps this router's grants; lender reserves credit from them for requests at
+	// other routers. Both are nil for a router without grants.
+	credit *prepaid.Service
 	lender *lender
 	// draining reports whether this process is draining, that is, about to stop.
 	draining func() bool
--- a/direct/router.go
+++ b/direct/router.go
@@ -118,7 +118,7 @@
 	})
 	// No account is assigned until the fleet is known: see assignAccounts.
 	r.credit.SetAssigned(nil, 0)
-	r.peers.lender = newLender(r.credit, opts.Logger)
+	r.peers.credit, r.peers.lender = r.credit, newLender(r.credit, opts.Logger)
 	r.fleetCredit = newFleetCredit(r.credit, r.peers, opts.Logger, opts.Metrics)
 	r.quarantine = &quarantine{crashTracker: newCrashTracker(), router: r}
 	return r
