direct, routing: update other routers on long prompts only

Cause: each router sent up to 500 load updates a second, however many routers there are; with 103 of them an update was 0.2 s old, longer than most prompts take. Change: a load is sent when it has changed by 100 tokens times the number of other routers, or ended; unchanged loads are repeated each 0.5 s in place of keep-alives.

--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -24,7 +24,10 @@
 	// subscribers are notified of changed loads, one for each stream to another
 	// router. lastLoadUpdate is when each other router, by VM, sent its last load
 	// update.
-	subscribers    map[*loadSubscriber]struct{}
+	subscribers map[*loadSubscriber]struct{}
+	// reported are this router's loads as they were last sent to other routers, by
+	// endpoint.
+	reported       map[string]reportedLoad
 	lastLoadUpdate map[string]time.Time
 }
 
@@ -34,6 +37,7 @@
 		catalog:        catalog.New(),
 		picker:         routing.NewPromptPicker(failureDomain),
 		subscribers:    make(map[*loadSubscriber]struct{}),
+		reported:       make(map[string]reportedLoad),
 		lastLoadUpdate: make(map[string]time.Time),
 	}
 }
@@ -89,6 +93,7 @@
 		e.logger.Info("endpoint dropped", "endpoint", endpoint.ID, "reason", "not listed again in time")
 	}
 	e.dropStalePeerLoads(time.Now())
+	e.repeatReports(time.Now())
 	e.updatePicker()
 }
 
@@ -125,7 +130,7 @@
 	choice, err := e.picker.Pick(now, q)
 	if err == nil {
 		e.picker.Started(now, choice)
-		e.notifySubscribers(choice)
+		e.reportLoad(now, choice)
 	}
 	return choice, err
 }
@@ -136,7 +141,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.picker.PromptProcessed(choice)
-	e.notifySubscribers(choice)
+	e.reportLoad(time.Now(), choice)
 }
 
 // recordAttempt updates the picker with the outcome of an attempt.
@@ -146,7 +151,7 @@
 	now := time.Now()
 	e.picker.Ended(choice, a.promptProcessed)
 	if !a.promptProcessed {
-		e.notifySubscribers(choice)
+		e.reportLoad(now, choice)
 	}
 	id := choice.Endpoint.ID
 	if a.meta.Load >= 0 {
--- a/direct/loads.go
+++ b/direct/loads.go
@@ -18,11 +18,11 @@
 	// a second in total; at about 20 us each they take 1% of a core.
 	loadUpdateInterval = 2 * time.Millisecond
 
-	// loadKeepAliveInterval is how often an update is sent when no load changed.
-	loadKeepAliveInterval = 500 * time.Millisecond
+	// loadRepeatInterval is how often loads that have not changed are sent again.
+	loadRepeatInterval = 500 * time.Millisecond
 
 	// peerLoadTimeout is the time without an update after which the loads of a
-	// router are dropped. It spans several keep-alives.
+	// router are dropped. It spans several repetitions.
 	peerLoadTimeout = 1600 * time.Millisecond
 
 	// loadStreamRetryDelay is the pause before a broken stream is opened again.
@@ -37,8 +37,8 @@
 )
 
 // sendLoadUpdates keeps a stream to every known router and sends it the unread
-// prompt tokens that this router has at each endpoint, so that two routers don't
-// send long prompts to the same endpoint at once.
+// prompt tokens that this router has at each endpoint, so that other routers avoid
+// endpoints at which long prompts wait.
 func (r *Router) sendLoadUpdates(ctx context.Context) {
 	var streams sync.WaitGroup
 	defer streams.Wait()
@@ -103,7 +103,6 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-sub.signal:
-		case <-time.After(loadKeepAliveInterval):
 		}
 		update := &pb.TellLoadsRequest{From: from}
 		for _, load := range r.takeChangedLoads(sub, maxLoadsPerUpdate) {
@@ -142,6 +141,12 @@
 	}
 }
 
+// reportedLoad is a load as it was last sent to other routers.
+type reportedLoad struct {
+	unread int64
+	at     time.Time
+}
+
 // loadSubscriber collects the endpoints whose load changed since the last update on
 // one stream.
 type loadSubscriber struct {
@@ -155,8 +160,13 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	sub := &loadSubscriber{signal: make(chan struct{}, 1), pending: make(map[string]struct{})}
+	now := time.Now()
 	for _, load := range e.picker.OwnLoads() {
 		sub.pending[load.Endpoint] = struct{}{}
+		e.reported[load.Endpoint] = reportedLoad{unread: load.UnreadTokens, at: now}
+	}
+	if len(sub.pending) > 0 {
+		sub.signal <- struct{}{}
 	}
 	e.subscribers[sub] = struct{}{}
 	return sub
@@ -168,14 +178,39 @@
 	delete(e.subscribers, sub)
 }
 
-// notifySubscribers marks the endpoint of a choice as changed for all subscribers,
-// if the choice has unread tokens. The caller holds e.mu.
-func (e *endpointSet) notifySubscribers(choice routing.PromptChoice) {
+// reportLoad makes all subscribers send the load at the endpoint of a choice if it has
+// changed enough since it was last sent, or has ended. The caller holds e.mu.
+func (e *endpointSet) reportLoad(now time.Time, choice routing.PromptChoice) {
 	if choice.UnreadTokens == 0 {
 		return
 	}
+	id := choice.Endpoint.ID
+	unread, last := e.picker.OwnLoad(id).UnreadTokens, e.reported[id].unread
+	least := routing.MinReportedTokens(len(e.subscribers))
+	if ended := unread == 0 && last > 0; !ended && unread-last < least && last-unread < least {
+		return
+	}
+	e.markForReport(now, id, unread)
+}
+
+// repeatReports makes all subscribers send the loads again that they have sent and that
+// have not ended, so that other routers don't drop them. The caller holds e.mu.
+func (e *endpointSet) repeatReports(now time.Time) {
+	for id, last := range e.reported {
+		if now.Sub(last.at) >= loadRepeatInterval {
+			e.markForReport(now, id, e.picker.OwnLoad(id).UnreadTokens)
+		}
+	}
+}
+
+// markForReport makes all subscribers send the load at an endpoint. The caller holds e.mu.
+func (e *endpointSet) markForReport(now time.Time, id string, unread int64) {
+	e.reported[id] = reportedLoad{unread: unread, at: now}
+	if unread == 0 {
+		delete(e.reported, id)
+	}
 	for sub := range e.subscribers {
-		sub.pending[choice.Endpoint.ID] = struct{}{}
+		sub.pending[id] = struct{}{}
 		select {
 		case sub.signal <- struct{}{}:
 		default:
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -39,6 +39,11 @@
 	minPause = 500 * time.Millisecond
 	maxPause = 4 * time.Second
 
+	// reportedTokensPerPeer, multiplied by the number of other routers, is the change of a
+	// load that is worth an update to all of them. Long prompts, behind which others wait
+	// for long, are few, so that the updates of one router don't grow with the fleet.
+	reportedTokensPerPeer = 100
+
 	// otherDomainTokens is the cost of another failure domain in prompt tokens. It
 	// only breaks ties in favour of the picker's own failure domain.
 	otherDomainTokens = 20
@@ -124,6 +129,10 @@
 	UnreadTokens int64
 }
 
+// MinReportedTokens returns the change of the unread tokens at an endpoint that is worth an
+// update to all other routers.
+func MinReportedTokens(peers int) int64 { return reportedTokensPerPeer * int64(max(peers, 1)) }
+
 // PromptPicker chooses endpoints for prompts whose parts are known. It compares the
 // unread prompt tokens at an endpoint, its in-flight requests, and the tokens of
 // the prompt that it has not cached. In a service without prompts, the in-flight
