direct: relay load updates in other failure domains

Change: a router streams to those of its own failure domain and to one of each other, which passes the updates on there. A relay whose stream failed is replaced for 3 s.

--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -21,24 +21,24 @@
 	pickerVersion uint64
 	// listReceived is set once a list of endpoints has been received.
 	listReceived bool
-	// subscribers are notified of changed loads, one for each stream to another
-	// router. lastLoadUpdate is when each other router, by VM, sent its last load
-	// update.
+	// peerCount is the number of other routers. subscribers are notified of changed
+	// loads, one for each stream to another router.
+	peerCount   int
 	subscribers map[*loadSubscriber]struct{}
 	// reported are this router's loads as they were last sent to other routers, by
-	// endpoint.
-	reported       map[string]reportedLoad
-	lastLoadUpdate map[string]time.Time
+	// endpoint. peerReports are the last updates of other routers, by VM.
+	reported    map[string]reportedLoad
+	peerReports map[string]peerReport
 }
 
 func newEndpointSet(failureDomain string, logger *slog.Logger) *endpointSet {
 	return &endpointSet{
-		logger:         logger,
-		catalog:        catalog.New(),
-		picker:         routing.NewPromptPicker(failureDomain),
-		subscribers:    make(map[*loadSubscriber]struct{}),
-		reported:       make(map[string]reportedLoad),
-		lastLoadUpdate: make(map[string]time.Time),
+		logger:      logger,
+		catalog:     catalog.New(),
+		picker:      routing.NewPromptPicker(failureDomain),
+		subscribers: make(map[*loadSubscriber]struct{}),
+		reported:    make(map[string]reportedLoad),
+		peerReports: make(map[string]peerReport),
 	}
 }
 
--- a/direct/loads.go
+++ b/direct/loads.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/prepaid"
+	"jackdawswitch/rendezvous"
 	"jackdawswitch/routing"
 )
 
@@ -18,16 +20,13 @@
 	// a second in total; at about 20 us each they take 1% of a core.
 	loadUpdateInterval = 2 * time.Millisecond
 
-	// loadRepeatInterval is how often loads that have not changed are sent again.
-	loadRepeatInterval = 500 * time.Millisecond
-
-	// peerLoadTimeout is the time without an update after which the loads of a
-	// router are dropped. It spans several repetitions.
-	peerLoadTimeout = 1600 * time.Millisecond
-
 	// loadStreamRetryDelay is the pause before a broken stream is opened again.
 	loadStreamRetryDelay = 500 * time.Millisecond
 
+	// relayAvoidTime is how long a router whose stream failed relays no updates. It is
+	// longer than a restart takes.
+	relayAvoidTime = 3 * time.Second
+
 	// peerScanInterval is how often streams to new routers are started and streams to
 	// replaced ones are stopped.
 	peerScanInterval = 200 * time.Millisecond
@@ -36,30 +35,78 @@
 	maxLoadsPerUpdate = 256
 )
 
-// sendLoadUpdates keeps a stream to every known router and sends it the unread
-// prompt tokens that this router has at each endpoint, so that other routers avoid
-// endpoints at which long prompts wait.
+// loadTarget is a router to which this one streams load updates.
+type loadTarget struct {
+	id      prepaid.ProcessID
+	address string
+	// relays is set if that router is in another failure domain and passes the updates on
+	// to the other routers there.
+	relays bool
+}
+
+// loadTargets returns the routers to which this one streams load updates: all of its own
+// failure domain, and one of each other failure domain. So the streams of a router don't
+// grow with the fleet but with its largest failure domain.
+func (p *peers) loadTargets() []loadTarget {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []loadTarget
+	relays := make(map[string]*peerRouter)
+	for _, known := range p.known {
+		// Routers of a version without failure domains in their records relay nothing.
+		if known.member == nil || known.member.FailureDomain == p.member.FailureDomain {
+			out = append(out, loadTarget{id: known.id, address: known.address})
+			continue
+		}
+		domain := known.member.FailureDomain
+		if best := relays[domain]; best == nil || p.isBetterRelay(known, best) {
+			relays[domain] = known
+		}
+	}
+	for _, known := range relays {
+		out = append(out, loadTarget{id: known.id, address: known.address, relays: true})
+	}
+	return out
+}
+
+// isBetterRelay reports whether this router prefers one relay to another: one that did not
+// fail lately, else in an order that differs from router to router, which spreads the load.
+// The caller holds p.mu.
+func (p *peers) isBetterRelay(known, than *peerRouter) bool {
+	now := time.Now()
+	failed, thanFailed := now.Before(known.noLoadsUntil), now.Before(than.noLoadsUntil)
+	if failed != thanFailed {
+		return thanFailed
+	}
+	key := rendezvous.Hash(p.self.VM)
+	return rendezvous.Score(key, rendezvous.Hash(known.id.VM)) > rendezvous.Score(key, rendezvous.Hash(than.id.VM))
+}
+
+// sendLoadUpdates keeps streams to other routers and sends them the unread prompt tokens
+// that this router has at each endpoint, so that all routers avoid endpoints at which long
+// prompts wait.
 func (r *Router) sendLoadUpdates(ctx context.Context) {
 	var streams sync.WaitGroup
 	defer streams.Wait()
-	running := make(map[prepaid.ProcessID]context.CancelFunc)
+	running := make(map[loadTarget]context.CancelFunc)
 	ticker := time.NewTicker(peerScanInterval)
 	defer ticker.Stop()
 	for {
-		known := r.peers.addresses()
-		for id, stop := range running {
-			if _, ok := known[id]; !ok {
+		targets := r.peers.loadTargets()
+		r.setPeerCount(r.peers.count())
+		for target, stop := range running {
+			if !slices.Contains(targets, target) {
 				stop()
-				delete(running, id)
+				delete(running, target)
 			}
 		}
-		for id, address := range known {
-			if running[id] != nil {
+		for _, target := range targets {
+			if running[target] != nil {
 				continue
 			}
 			streamCtx, stop := context.WithCancel(ctx)
-			running[id] = stop
-			streams.Go(func() { r.sendLoadUpdatesTo(streamCtx, id, address) })
+			running[target] = stop
+			streams.Go(func() { r.sendLoadUpdatesTo(streamCtx, target) })
 		}
 		select {
 		case <-ctx.Done():
@@ -70,13 +117,14 @@
 }
 
 // sendLoadUpdatesTo sends load updates to one router until ctx ends.
-func (r *Router) sendLoadUpdatesTo(ctx context.Context, id prepaid.ProcessID, address string) {
+func (r *Router) sendLoadUpdatesTo(ctx context.Context, target loadTarget) {
 	for ctx.Err() == nil {
-		err := r.streamLoadUpdates(ctx, address)
+		err := r.streamLoadUpdates(ctx, target)
 		if ctx.Err() != nil {
 			return
 		}
-		r.logger.Debug("load update stream failed, retrying", "vm", id.VM, "error", errorText(err))
+		r.logger.Debug("load update stream failed, retrying", "vm", target.id.VM, "relays", target.relays, "error", errorText(err))
+		r.peers.update(target.id, func(known *peerRouter) { known.noLoadsUntil = time.Now().Add(relayAvoidTime) })
 		select {
 		case <-ctx.Done():
 		case <-time.After(loadStreamRetryDelay):
@@ -85,31 +133,30 @@
 }
 
 // streamLoadUpdates sends load updates over one stream until it fails or ctx ends.
-func (r *Router) streamLoadUpdates(ctx context.Context, address string) error {
+func (r *Router) streamLoadUpdates(ctx context.Context, target loadTarget) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn := r.peers.client.Conn(ctx, address)
+	conn := r.peers.client.Conn(ctx, target.address)
 	defer func() { _ = conn.Close() }()
 	stream, err := pb.NewDRPCRouterPeerClient(conn).TellLoads(ctx)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = stream.Close() }()
-	sub := r.subscribe()
+	sub := r.subscribe(!target.relays)
 	defer r.unsubscribe(sub)
-	from := processID(r.peers.self)
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-stream.Context().Done():
+			return stream.Context().Err()
 		case <-sub.signal:
 		}
-		update := &pb.TellLoadsRequest{From: from}
-		for _, load := range r.takeChangedLoads(sub, maxLoadsPerUpdate) {
-			update.Loads = append(update.Loads, &pb.EndpointLoad{Endpoint: load.Endpoint, Unread: load.UnreadTokens})
-		}
-		if err := stream.Send(update); err != nil {
-			return err
+		for from, loads := range r.takeChangedLoads(sub, maxLoadsPerUpdate) {
+			if err := stream.Send(r.loadUpdate(from, loads, target.relays)); err != nil {
+				return err
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -119,11 +166,24 @@
 	}
 }
 
-// TellLoads implements pb.DRPCRouterPeerServer. It receives the load updates of one
-// router and drops its loads when the stream ends.
+// loadUpdate returns the update with the loads of this router, for which from is empty, or
+// of another one.
+func (r *Router) loadUpdate(from string, loads []routing.PeerLoad, relay bool) *pb.TellLoadsRequest {
+	update := &pb.TellLoadsRequest{From: processID(r.peers.self), Relay: relay}
+	if from != "" {
+		update.From = &pb.ProcessId{Vm: from}
+	}
+	for _, load := range loads {
+		update.Loads = append(update.Loads, &pb.EndpointLoad{Endpoint: load.Endpoint, Unread: load.UnreadTokens})
+	}
+	return update
+}
+
+// TellLoads implements pb.DRPCRouterPeerServer. It receives load updates and drops the
+// loads that came over the stream when it ends.
 func (s peerServer) TellLoads(stream pb.DRPCRouterPeer_TellLoadsStream) error {
-	from := ""
-	defer func() { s.endpoints.dropPeerLoads(from) }()
+	source := new(loadSource)
+	defer func() { s.endpoints.dropLoadsOf(source) }()
 	for {
 		update, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
@@ -132,137 +192,14 @@
 		if err != nil {
 			return err
 		}
-		from = update.GetFrom().GetVm()
+		from := update.GetFrom().GetVm()
+		if from == s.self.VM {
+			continue
+		}
 		loads := make([]routing.PeerLoad, 0, len(update.GetLoads()))
 		for _, load := range update.GetLoads() {
 			loads = append(loads, routing.PeerLoad{Endpoint: load.GetEndpoint(), UnreadTokens: load.GetUnread()})
 		}
-		s.endpoints.updatePeerLoads(from, loads)
-	}
-}
-
-// reportedLoad is a load as it was last sent to other routers.
-type reportedLoad struct {
-	unread int64
-	at     time.Time
-}
-
-// loadSubscriber collects the endpoints whose load changed since the last update on
-// one stream.
-type loadSubscriber struct {
-	signal  chan struct{}
-	pending map[string]struct{}
-}
-
-// subscribe adds a subscriber. At first, all endpoints at which this router has
-// unread prompt tokens are pending.
-func (e *endpointSet) subscribe() *loadSubscriber {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	sub := &loadSubscriber{signal: make(chan struct{}, 1), pending: make(map[string]struct{})}
-	now := time.Now()
-	for _, load := range e.picker.OwnLoads() {
-		sub.pending[load.Endpoint] = struct{}{}
-		e.reported[load.Endpoint] = reportedLoad{unread: load.UnreadTokens, at: now}
-	}
-	if len(sub.pending) > 0 {
-		sub.signal <- struct{}{}
-	}
-	e.subscribers[sub] = struct{}{}
-	return sub
-}
-
-func (e *endpointSet) unsubscribe(sub *loadSubscriber) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.subscribers, sub)
-}
-
-// reportLoad makes all subscribers send the load at the endpoint of a choice if it has
-// changed enough since it was last sent, or has ended. The caller holds e.mu.
-func (e *endpointSet) reportLoad(now time.Time, choice routing.PromptChoice) {
-	if choice.UnreadTokens == 0 {
-		return
-	}
-	id := choice.Endpoint.ID
-	unread, last := e.picker.OwnLoad(id).UnreadTokens, e.reported[id].unread
-	least := routing.MinReportedTokens(len(e.subscribers))
-	if ended := unread == 0 && last > 0; !ended && unread-last < least && last-unread < least {
-		return
-	}
-	e.markForReport(now, id, unread)
-}
-
-// repeatReports makes all subscribers send the loads again that they have sent and that
-// have not ended, so that other routers don't drop them. The caller holds e.mu.
-func (e *endpointSet) repeatReports(now time.Time) {
-	for id, last := range e.reported {
-		if now.Sub(last.at) >= loadRepeatInterval {
-			e.markForReport(now, id, e.picker.OwnLoad(id).UnreadTokens)
-		}
-	}
-}
-
-// markForReport makes all subscribers send the load at an endpoint. The caller holds e.mu.
-func (e *endpointSet) markForReport(now time.Time, id string, unread int64) {
-	e.reported[id] = reportedLoad{unread: unread, at: now}
-	if unread == 0 {
-		delete(e.reported, id)
-	}
-	for sub := range e.subscribers {
-		sub.pending[id] = struct{}{}
-		select {
-		case sub.signal <- struct{}{}:
-		default:
-		}
-	}
-}
-
-// takeChangedLoads takes up to limit endpoints from the pending ones and returns
-// their current loads. If others remain pending, it signals the subscriber again.
-func (e *endpointSet) takeChangedLoads(sub *loadSubscriber, limit int) []routing.PeerLoad {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var out []routing.PeerLoad
-	for id := range sub.pending {
-		if len(out) == limit {
-			select {
-			case sub.signal <- struct{}{}:
-			default:
-			}
-			break
-		}
-		delete(sub.pending, id)
-		out = append(out, e.picker.OwnLoad(id))
-	}
-	return out
-}
-
-// updatePeerLoads stores loads that another router reported.
-func (e *endpointSet) updatePeerLoads(from string, loads []routing.PeerLoad) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.lastLoadUpdate[from] = time.Now()
-	for _, load := range loads {
-		e.picker.SetPeerLoad(from, load)
-	}
-}
-
-// dropPeerLoads removes the loads that a router reported.
-func (e *endpointSet) dropPeerLoads(from string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.lastLoadUpdate, from)
-	e.picker.ForgetPeer(from)
-}
-
-// dropStalePeerLoads removes the loads of routers that sent no update within
-// peerLoadTimeout. The caller holds e.mu.
-func (e *endpointSet) dropStalePeerLoads(now time.Time) {
-	for from, at := range e.lastLoadUpdate {
-		if now.Sub(at) > peerLoadTimeout {
-			delete(e.lastLoadUpdate, from)
-			e.picker.ForgetPeer(from)
-		}
+		s.endpoints.updatePeerLoads(source, from, loads, update.GetRelay())
 	}
 }
--- a/direct/loads_test.go
+++ b/direct/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net/http"
 	"testing"
@@ -21,10 +22,15 @@
 // startPeerRouter starts the peer server and the load updates of a router with one
 // endpoint, on a host of the network. Calling stop kills the host, as a crash does.
 func startPeerRouter(t *testing.T, network *memnet.Network, id prepaid.ProcessID) (r *Router, stop func()) {
+	t.Helper()
+	return startPeerRouterIn(t, network, id, "fd")
+}
+
+func startPeerRouterIn(t *testing.T, network *memnet.Network, id prepaid.ProcessID, failureDomain string) (r *Router, stop func()) {
 	t.Helper()
 	host := network.Host(id.VM)
 	r = New(Options{
-		Settings: Settings{VM: id.VM, FailureDomain: "fd", PeerAddress: id.VM}, Incarnation: id.Incarnation, Network: host,
+		Settings: Settings{VM: id.VM, FailureDomain: failureDomain, PeerAddress: id.VM}, Incarnation: id.Incarnation, Network: host,
 		Protocol: testProtocol{}, Table: standin.NewTable(), Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
 	})
 	r.ReplaceEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Address: "127.0.0.1:1"}})
@@ -90,12 +96,12 @@
 func TestLoadsOfSilentRoutersAreDropped(t *testing.T) {
 	e := newEndpointSet("fd", slog.New(slog.DiscardHandler))
 	e.ReplaceEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Address: "127.0.0.1:1"}})
-	e.updatePeerLoads("vm", []routing.PeerLoad{{Endpoint: "e", UnreadTokens: 500}})
+	e.updatePeerLoads(new(loadSource), "vm", []routing.PeerLoad{{Endpoint: "e", UnreadTokens: 500}}, false)
 	e.mu.Lock()
 	e.dropStalePeerLoads(time.Now().Add(peerLoadTimeout / 2))
-	kept := len(e.lastLoadUpdate)
+	kept := len(e.peerReports)
 	e.dropStalePeerLoads(time.Now().Add(2 * peerLoadTimeout))
-	left := len(e.lastLoadUpdate)
+	left := len(e.peerReports)
 	e.mu.Unlock()
 	choice, err := e.pick(routing.PromptQuery{Service: "s"})
 	if err != nil || kept != 1 || left != 0 || choice.PeerWaitingTokens != 0 {
@@ -118,3 +124,76 @@
 		return statuses[0].InFlight == 0 && statuses[0].UnreadTokens == 0
 	})
 }
+
+// TestLoadsReachOtherFailureDomainsThroughARelay guards against streams between all pairs
+// of routers, whose number grows with the square of the fleet. A report must reach every
+// router, also when the relay of a failure domain ends.
+func TestLoadsReachOtherFailureDomainsThroughARelay(t *testing.T) {
+	const domains, perDomain = 3, 4
+	network := memnet.New()
+	routers, stops := make(map[string]*Router), make(map[string]func())
+	for i := range domains * perDomain {
+		id := prepaid.ProcessID{VM: fmt.Sprintf("vm%02d", i), Incarnation: 1}
+		routers[id.VM], stops[id.VM] = startPeerRouterIn(t, network, id, fmt.Sprintf("fd%d", i%domains))
+	}
+	defer func() {
+		for _, stop := range stops {
+			stop()
+		}
+	}()
+	for vm, r := range routers {
+		for other, o := range routers {
+			if vm != other {
+				r.peers.add(o.peers.self, other, o.peers.member.FailureDomain)
+			}
+		}
+	}
+	sender := routers["vm00"]
+	targets := sender.peers.loadTargets()
+	if want := perDomain - 1 + domains - 1; len(targets) != want {
+		t.Fatalf("%d streams, want %d", len(targets), want)
+	}
+	choice, err := sender.pick(routing.PromptQuery{Service: "s", PromptTokens: 7_000})
+	if err != nil {
+		t.Fatal(err)
+	}
+	reportReachesAll := func(what string, tokens int64) {
+		t.Helper()
+		for vm, r := range routers {
+			if r != sender && stops[vm] != nil {
+				eventually(t, what+" at "+vm, func() bool { return peerWaitingTokens(t, r) == tokens })
+			}
+		}
+	}
+	reportReachesAll("the unread prompt is reported", 7_000)
+	for _, target := range targets {
+		if target.relays {
+			stops[target.id.VM]()
+			delete(stops, target.id.VM)
+		}
+	}
+	sender.markPromptProcessed(choice)
+	if _, err := sender.pick(routing.PromptQuery{Service: "s", PromptTokens: 9_000}); err != nil {
+		t.Fatal(err)
+	}
+	reportReachesAll("a prompt is reported after the relays ended", 9_000)
+}
+
+// TestOldStreamDropsNoNewerLoads guards against loads that are dropped though they came
+// over a newer stream: the end of a broken stream is noticed late.
+func TestOldStreamDropsNoNewerLoads(t *testing.T) {
+	e := newEndpointSet("fd", slog.New(slog.DiscardHandler))
+	e.ReplaceEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Address: "127.0.0.1:1"}})
+	last, current := new(loadSource), new(loadSource)
+	loads := []routing.PeerLoad{{Endpoint: "e", UnreadTokens: 500}}
+	e.updatePeerLoads(last, "vm", loads, false)
+	e.updatePeerLoads(current, "vm", loads, false)
+	e.dropLoadsOf(last)
+	if choice, err := e.pick(routing.PromptQuery{Service: "s"}); err != nil || choice.PeerWaitingTokens != 500 {
+		t.Fatalf("%d waiting tokens after the end of the old stream, error %v", choice.PeerWaitingTokens, err)
+	}
+	e.dropLoadsOf(current)
+	if choice, err := e.pick(routing.PromptQuery{Service: "s"}); err != nil || choice.PeerWaitingTokens != 0 {
+		t.Fatalf("%d waiting tokens after the end of the stream, error %v", choice.PeerWaitingTokens, err)
+	}
+}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -56,6 +56,8 @@
 	// creditFailures the number of calls for credit that failed in a row.
 	noCreditUntil  time.Time
 	creditFailures int
+	// noLoadsUntil is the time until which it is not chosen to relay load updates.
+	noLoadsUntil time.Time
 	// member is the router as a holder of credit. It is nil for routers that make no
 	// reservations for others.
 	member *prepaid.Member
@@ -228,17 +230,6 @@
 	return out
 }
 
-// addresses returns the addresses of all known routers.
-func (p *peers) addresses() map[prepaid.ProcessID]string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make(map[prepaid.ProcessID]string, len(p.known))
-	for _, known := range p.known {
-		out[known.id] = known.address
-	}
-	return out
-}
-
 // count returns the number of known routers.
 func (p *peers) count() int {
 	p.mu.Lock()
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -391,6 +391,15 @@
 	return PeerLoad{Endpoint: id, UnreadTokens: t.unreadTokens}
 }
 
+// PeerLoad returns the load at an endpoint that another router reported.
+func (p *PromptPicker) PeerLoad(peer, id string) PeerLoad {
+	t := p.targets[id]
+	if t == nil {
+		return PeerLoad{Endpoint: id}
+	}
+	return PeerLoad{Endpoint: id, UnreadTokens: t.peerLoads[peer]}
+}
+
 // OwnLoads returns the load of this router's requests at all endpoints where it is
 // not 0.
 func (p *PromptPicker) OwnLoads() []PeerLoad {
