direct: routers announce that they are leaving

Cause: the record of a router that was removed for good stays in the table, so that it would stay a holder, a witness and a relay. Change: a draining router sets a flag in its record; others give it no new task until a new process runs on its VM. A router lost without draining is still known to others, which pause calls to it for up to 8 s at a time. Measured: the test fails without the flag's check.

--- a/direct/lender_test.go
+++ b/direct/lender_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -259,3 +261,30 @@
 		t.Fatalf("result %d, want Short", result)
 	}
 }
+
+// TestLeavingRouterIsNoHolder guards against callers that wait for a router which was
+// removed for good: its record in the table stays.
+func TestLeavingRouterIsNoHolder(t *testing.T) {
+	f := newCreditFleet(t, 12)
+	holder, other := f.split()
+	record := func(leaving bool) []byte {
+		data, err := json.Marshal(routerRecord{Incarnation: holder.id.Incarnation, Address: holder.id.VM, FailureDomain: "fd", Leaving: leaving})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	isHolder := func() bool { return slices.Contains(other.peers.creditCandidates("coffee", 12), holder.id) }
+	other.MergeRouterRecord(holder.id.VM, record(false))
+	if !isHolder() {
+		t.Fatal("a router that isn't leaving is no holder")
+	}
+	other.MergeRouterRecord(holder.id.VM, record(true))
+	if isHolder() {
+		t.Fatal("a leaving router is still a holder")
+	}
+	other.peers.add(prepaid.ProcessID{VM: holder.id.VM, Incarnation: 99}, holder.id.VM, "fd")
+	if candidates := other.peers.creditCandidates("coffee", 12); !slices.ContainsFunc(candidates, func(id prepaid.ProcessID) bool { return id.VM == holder.id.VM }) {
+		t.Fatal("the successor on the VM of a leaving router is no holder")
+	}
+}
--- a/direct/loads.go
+++ b/direct/loads.go
@@ -53,6 +53,9 @@
 	var out []loadTarget
 	relays := make(map[string]*peerRouter)
 	for _, known := range p.known {
+		if known.leaving {
+			continue
+		}
 		// Routers of a version without failure domains in their records relay nothing.
 		if known.member == nil || known.member.FailureDomain == p.member.FailureDomain {
 			out = append(out, loadTarget{id: known.id, address: known.address})
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -50,6 +50,8 @@
 	address string
 	// avoidUntil is the time until which it is not chosen as a witness.
 	avoidUntil time.Time
+	// leaving is set if the router is about to stop. It gets no new task then.
+	leaving bool
 	// noRelayUntil is the time until which it is not asked to relay table calls.
 	noRelayUntil time.Time
 	// noCreditUntil is the time until which it is not asked for credit, and
@@ -128,7 +130,7 @@
 		known.member = &member
 	}
 	p.known[id.VM] = known
-	if last == nil || last.member == nil || known.member == nil || last.member.FailureDomain != failureDomain {
+	if last == nil || last.leaving || last.member == nil || known.member == nil || last.member.FailureDomain != failureDomain {
 		p.updateFleet()
 	}
 	p.logger.Info("peer router added", "vm", id.VM, "incarnation", id.Incarnation, "address", address)
@@ -137,12 +139,25 @@
 	}
 }
 
+// markLeaving records that a router is about to stop.
+func (p *peers) markLeaving(id prepaid.ProcessID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known[id.VM]
+	if known == nil || known.id != id || known.leaving {
+		return
+	}
+	known.leaving = true
+	p.updateFleet()
+	p.logger.Info("peer router is leaving", "vm", id.VM, "incarnation", id.Incarnation)
+}
+
 // updateFleet sets the fleet to this router and the known ones. The caller holds p.mu, or
 // nobody else knows p.
 func (p *peers) updateFleet() {
 	members := []prepaid.Member{p.member}
 	for _, known := range p.known {
-		if known.member != nil {
+		if known.member != nil && !known.leaving {
 			members = append(members, *known.member)
 		}
 	}
@@ -221,7 +236,7 @@
 	var out []prepaid.ProcessID
 	scores := make(map[prepaid.ProcessID]uint64)
 	for _, known := range p.known {
-		if now.After(excludedUntil(known)) {
+		if !known.leaving && now.After(excludedUntil(known)) {
 			out = append(out, known.id)
 			scores[known.id] = rendezvous.Score(key, rendezvous.Hash(known.id.VM))
 		}
--- a/direct/quarantine_test.go
+++ b/direct/quarantine_test.go
@@ -37,7 +37,7 @@
 	if !unsaved {
 		t.Fatal("no crash entries to save")
 	}
-	if err := from.router.saveRouterRecord(context.Background(), entries); err != nil {
+	if err := from.router.saveRouterRecord(context.Background(), entries, false); err != nil {
 		t.Fatal(err)
 	}
 	if _, unsaved := from.router.quarantine.snapshot(); unsaved {
--- a/direct/routerrecord.go
+++ b/direct/routerrecord.go
@@ -32,6 +32,8 @@
 	Address string `json:"address"`
 	// FailureDomain is the failure domain of the VM.
 	FailureDomain string `json:"failureDomain,omitempty"`
+	// Leaving is set once the process is draining, that is, about to stop.
+	Leaving bool `json:"leaving,omitempty"`
 	// Crashes are the router's own crash entries.
 	Crashes []crashEntry `json:"crashes,omitempty"`
 }
@@ -72,25 +74,32 @@
 		r.logger.Warn("invalid router record ignored", "vm", vm, "error", err.Error())
 		return
 	}
-	r.peers.add(prepaid.ProcessID{VM: vm, Incarnation: record.Incarnation}, record.Address, record.FailureDomain)
+	id := prepaid.ProcessID{VM: vm, Incarnation: record.Incarnation}
+	r.peers.add(id, record.Address, record.FailureDomain)
+	if record.Leaving {
+		r.peers.markLeaving(id)
+	}
 	r.quarantine.merge(record.Crashes, vm == r.opts.Settings.VM)
 }
 
-// publishRouterRecord saves this router's record at the start and whenever its crash
-// entries change.
+// publishRouterRecord saves this router's record at the start, whenever its crash entries
+// change, and when it starts to drain.
 func (r *Router) publishRouterRecord(ctx context.Context) {
 	ticker := time.NewTicker(recordWriteInterval)
 	defer ticker.Stop()
 	var lastExpiry time.Time
-	saved := false
+	saved, savedLeaving := false, false
 	for {
 		if time.Since(lastExpiry) >= crashExpiryInterval {
 			lastExpiry = time.Now()
 			r.quarantine.expire(r.quarantine.tableNowMS())
 		}
-		if entries, unsaved := r.quarantine.snapshot(); unsaved || !saved {
-			err := r.saveRouterRecord(ctx, entries)
-			saved = saved || err == nil
+		leaving := r.draining.Load()
+		if entries, unsaved := r.quarantine.snapshot(); unsaved || !saved || leaving != savedLeaving {
+			err := r.saveRouterRecord(ctx, entries, leaving)
+			if err == nil {
+				saved, savedLeaving = true, leaving
+			}
 			if err != nil && ctx.Err() == nil {
 				r.logger.Warn("router record not saved, retrying", "crashes", len(entries), "error", err.Error())
 			}
@@ -105,7 +114,7 @@
 
 // saveRouterRecord writes the record on the condition that the row has not changed
 // since it was read, so that a delayed write never replaces a newer record.
-func (r *Router) saveRouterRecord(ctx context.Context, crashes []crashEntry) error {
+func (r *Router) saveRouterRecord(ctx context.Context, crashes []crashEntry, leaving bool) error {
 	ctx, cancel := context.WithTimeout(ctx, recordWriteTimeout)
 	defer cancel()
 	key := routerRecordKey(r.opts.Settings.VM)
@@ -119,7 +128,7 @@
 	}
 	value, err := json.Marshal(routerRecord{
 		Incarnation: r.opts.Incarnation, Address: r.opts.Settings.PeerAddress,
-		FailureDomain: r.opts.Settings.FailureDomain, Crashes: crashes,
+		FailureDomain: r.opts.Settings.FailureDomain, Leaving: leaving, Crashes: crashes,
 	})
 	if err != nil {
 		return errors.WithStack(err)
