catalog: use an incarnation whose wall clock was set back

Cause: an entry with an earlier start than the known one was ignored for good. The start is the Unix time of the endpoint's VM, whose clock may jump back by seconds before the endpoint starts again under its ID: it then got no work. Ruled out: taking each entry as it comes, as a delayed write of an ended incarnation would replace the live one until its next heartbeat. Change: an entry with an earlier start is used once it was listed for 4 s of the steady clock without another write.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -17,6 +17,12 @@
 // operators of the source state that registering again takes about two seconds.
 const ReregistrationGrace = 2 * time.Second
 
+// lateWriteGrace is how long an entry with an earlier start than the known one is taken
+// for a delayed write of an incarnation that has ended. A live endpoint writes its entry
+// again within a heartbeat interval of about a second. An entry that lasts longer is of a
+// new incarnation whose wall clock was set back.
+const lateWriteGrace = 4 * time.Second
+
 // Endpoint is one incarnation of an endpoint as it registered itself.
 type Endpoint struct {
 	// ID identifies the endpoint; most restarts change it.
@@ -26,8 +32,8 @@
 	// ended.
 	Address       string
 	FailureDomain string
-	// Started is the start time of the incarnation in Unix milliseconds, 0 if
-	// unknown.
+	// Started is the start time of the incarnation in Unix milliseconds by the wall
+	// clock of the endpoint's VM, which may jump, 0 if unknown.
 	Started int64
 	// Slots is the number of requests that the endpoint runs concurrently.
 	Slots int
@@ -42,6 +48,10 @@
 	// missing is set while the endpoint is retained although the source no
 	// longer lists it.
 	missing bool
+	// earlier is the listed incarnation if it has an earlier start than endpoint, and
+	// earlierSince when it was first listed.
+	earlier      *Endpoint
+	earlierSince time.Time
 }
 
 // Catalog is the set of known endpoints.
@@ -90,7 +100,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, e := range list {
 		listed[e.ID] = true
-		c.Put(e)
+		c.Put(now, e)
 	}
 	var removed []Endpoint
 	for id := range c.entries {
@@ -101,17 +111,35 @@
 	return removed
 }
 
-// Put adds or replaces an endpoint. It ignores an incarnation that is older than
-// the known one.
-func (c *Catalog) Put(e Endpoint) {
+// Put adds or replaces an endpoint. An incarnation with an earlier start than the known
+// one replaces it only if it is still listed after lateWriteGrace (AcceptEarlier).
+func (c *Catalog) Put(now time.Time, e Endpoint) {
 	known := c.entries[e.ID]
 	if known != nil && e.Started < known.endpoint.Started {
+		if known.earlier == nil {
+			known.earlierSince = now
+		}
+		known.earlier = &e
 		return
 	}
 	c.entries[e.ID] = &entry{endpoint: e}
 	c.version++
 }
 
+// AcceptEarlier replaces the endpoints whose listed incarnation has an earlier start
+// since lateWriteGrace, and returns the new ones.
+func (c *Catalog) AcceptEarlier(now time.Time) []Endpoint {
+	var accepted []Endpoint
+	for id, known := range c.entries {
+		if known.earlier != nil && now.Sub(known.earlierSince) >= lateWriteGrace {
+			c.entries[id] = &entry{endpoint: *known.earlier, missing: known.missing}
+			c.version++
+			accepted = append(accepted, *known.earlier)
+		}
+	}
+	return accepted
+}
+
 // Remove records that the source no longer lists an endpoint. It removes the
 // endpoint and returns it, or retains it and returns nil if the source's
 // unavailability may be the reason. A leaving endpoint is never retained.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -27,7 +27,7 @@
 	if c.RemoveExpired(back.Add(catalog.ReregistrationGrace - time.Millisecond)); len(c.Usable()) != 2 {
 		t.Fatalf("endpoints were removed within the grace period; usable: %v", c.Usable())
 	}
-	c.Put(catalog.Endpoint{ID: "b", Started: 5})
+	c.Put(start, catalog.Endpoint{ID: "b", Started: 5})
 	removed := c.RemoveExpired(back.Add(catalog.ReregistrationGrace))
 	if len(removed) != 1 || removed[0].ID != "a" || len(c.Usable()) != 1 {
 		t.Fatalf("removed %v, usable %v; want endpoint a removed and b usable", removed, c.Usable())
@@ -46,7 +46,7 @@
 
 func TestMissingLeavingEndpointIsNotRetained(t *testing.T) {
 	c := newCatalog()
-	c.Put(catalog.Endpoint{ID: "a", Started: 5, Leaving: true})
+	c.Put(start, catalog.Endpoint{ID: "a", Started: 5, Leaving: true})
 	c.MarkSourceUnavailable()
 	if removed := c.Remove(start, "a"); len(removed) != 1 {
 		t.Fatalf("removed %v, want endpoint a", removed)
@@ -55,10 +55,30 @@
 
 func TestOlderIncarnationIsIgnored(t *testing.T) {
 	c := newCatalog()
-	c.Put(catalog.Endpoint{ID: "a", Started: 9, Address: "new"})
-	c.Put(catalog.Endpoint{ID: "a", Started: 5, Address: "old", Leaving: true})
+	c.Put(start, catalog.Endpoint{ID: "a", Started: 9, Address: "new"})
+	c.Put(start, catalog.Endpoint{ID: "a", Started: 5, Address: "old", Leaving: true})
 	usable := c.Usable()
 	if len(usable) != 2 || usable[0].Address != "new" {
 		t.Fatalf("usable endpoints are %v, want the newer incarnation of a, and b", usable)
 	}
 }
+
+// TestIncarnationWithAnEarlierStartIsUsedIfItLasts guards against an endpoint that gets no
+// work: its VM's wall clock was set back before it started again under its ID.
+func TestIncarnationWithAnEarlierStartIsUsedIfItLasts(t *testing.T) {
+	c := newCatalog()
+	c.Put(start, catalog.Endpoint{ID: "a", Started: 9, Address: "first"})
+	c.Put(start, catalog.Endpoint{ID: "a", Started: 7, Address: "second"})
+	if accepted := c.AcceptEarlier(start.Add(3 * time.Second)); len(accepted) != 0 || c.Usable()[0].Address != "first" {
+		t.Fatalf("accepted %v within the grace period", accepted)
+	}
+	if accepted := c.AcceptEarlier(start.Add(4 * time.Second)); len(accepted) != 1 || c.Usable()[0].Address != "second" {
+		t.Fatalf("accepted %v, usable %v; want the second incarnation", accepted, c.Usable())
+	}
+	// A delayed write of an ended incarnation is followed by one of the live endpoint.
+	c.Put(start, catalog.Endpoint{ID: "a", Started: 3, Address: "late"})
+	c.Put(start.Add(time.Second), catalog.Endpoint{ID: "a", Started: 7, Address: "second"})
+	if accepted := c.AcceptEarlier(start.Add(time.Minute)); len(accepted) != 0 || c.Usable()[0].Address != "second" {
+		t.Fatalf("accepted %v though the live endpoint wrote again", accepted)
+	}
+}
--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -56,7 +56,7 @@
 func (e *endpointSet) PutEndpoint(endpoint catalog.Endpoint) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.catalog.Put(endpoint)
+	e.catalog.Put(time.Now(), endpoint)
 	e.logger.Info("endpoint registered", "endpoint", endpoint.ID, "service", endpoint.Service,
 		"address", endpoint.Address, "started", endpoint.Started, "leaving", endpoint.Leaving)
 	e.updatePicker()
@@ -92,6 +92,10 @@
 	for _, endpoint := range e.catalog.RemoveExpired(time.Now()) {
 		e.logger.Info("endpoint dropped", "endpoint", endpoint.ID, "reason", "not listed again in time")
 	}
+	for _, endpoint := range e.catalog.AcceptEarlier(time.Now()) {
+		e.logger.Info("incarnation with an earlier start accepted", "endpoint", endpoint.ID, "started", endpoint.Started,
+			"address", endpoint.Address, "reason", "still listed; its wall clock was set back")
+	}
 	e.dropStalePeerLoads(time.Now())
 	e.repeatReports(time.Now())
 	e.updatePicker()
