direct: shed load, and be unready, while the processor is overloaded

Change: the lateness of a timer, averaged, steers the share of requests that is refused at once with a Retry-After; streams first, as a single response costs little. A router that has to refuse 30% reports itself unready for 10 s, and up to a minute if it relapses, and closes its callers' connections after their responses.

--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -65,7 +65,7 @@
 
 // testRouter is a router with fake endpoints behind an HTTP server.
 type testRouter struct {
-	t       *testing.T
+	t       testing.TB
 	router  *Router
 	server  *httptest.Server
 	table   *standin.Table
@@ -100,7 +100,7 @@
 }
 
 // newTestRouter starts a router with n endpoints, which respond by handler.
-func newTestRouter(t *testing.T, n int, handler func(w http.ResponseWriter, r *http.Request)) *testRouter {
+func newTestRouter(t testing.TB, n int, handler func(w http.ResponseWriter, r *http.Request)) *testRouter {
 	t.Helper()
 	g := &testRouter{t: t, table: standin.NewTable(), handler: handler}
 	g.router = New(Options{
@@ -196,7 +196,7 @@
 }
 
 // eventually fails the test unless ok returns true within 5 s.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for range 500 {
 		if ok() {
--- /dev/null
+++ b/direct/overload.go
@@ -0,0 +1,147 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"jackdawswitch/refusal"
+)
+
+const (
+	// lagSampleInterval is the period of the timer whose lateness shows the load of the
+	// VM's processor.
+	lagSampleInterval = 20 * time.Millisecond
+
+	// maxLagSample bounds one sample, so that a pause of the process doesn't look like a
+	// lasting overload.
+	maxLagSample = 50 * time.Millisecond
+
+	// lagWeight is the weight of one sample in the moving average: a time constant of
+	// 0.2 s.
+	lagWeight = 0.1
+
+	// targetLag is the mean lag that is accepted. A request passes some tens of steps until
+	// its first token, each of which is as late as a timer.
+	targetLag = 4 * time.Millisecond
+
+	// shedGain is the change of the refused share for each sample and unit of relative
+	// deviation from targetLag. maxShedStep bounds the change by one sample.
+	shedGain    = 0.01
+	maxShedStep = 0.05
+
+	// maxShedShare leaves some requests, by whose cost a lasting overload is noticed.
+	maxShedShare = 0.9
+
+	// A router that would have to refuse more than saturatedShare reports itself unready,
+	// so that the load balancer sends its callers elsewhere: it sends a caller's retries to
+	// the router that refused. The router is ready again after minUnreadyTime, which
+	// doubles up to maxUnreadyTime if it is saturated again within relapseTime.
+	saturatedShare = 0.3
+	minUnreadyTime = 10 * time.Second
+	maxUnreadyTime = time.Minute
+	relapseTime    = 10 * time.Second
+
+	// A refused caller may come back after minShedRetryAfter to twice that, at another
+	// router.
+	minShedRetryAfter = 50 * time.Millisecond
+)
+
+// loadShedder decides which share of the requests a router refuses because its processor
+// is overloaded. It answers the load of a VM with a small share of a core to which the
+// load balancer, which hashes callers, sends many times the requests of the others: those
+// that it accepts are then served in time, and the refused ones at other routers.
+//
+// It is pure and not safe for concurrent use.
+type loadShedder struct {
+	// lag is the moving average of the lag, share the share of requests to refuse.
+	lag   time.Duration
+	share float64
+}
+
+// observe records by how much a timer of lagSampleInterval was late.
+func (s *loadShedder) observe(lag time.Duration) {
+	lag = min(max(lag, 0), maxLagSample)
+	s.lag += time.Duration(lagWeight * float64(lag-s.lag))
+	deviation := float64(s.lag)/float64(targetLag) - 1
+	s.share = min(max(s.share+min(shedGain*deviation, maxShedStep), 0), maxShedShare)
+}
+
+// saturation decides when a router whose processor is overloaded reports itself unready.
+// It is pure and not safe for concurrent use.
+type saturation struct {
+	// unreadyUntil is the end of the last period, unreadyTime its length.
+	unreadyUntil time.Time
+	unreadyTime  time.Duration
+}
+
+// update returns whether the router is to be unready, given the share of requests that it
+// refuses.
+func (s *saturation) update(now time.Time, share float64) (unready bool) {
+	if now.Before(s.unreadyUntil) {
+		return true
+	}
+	if share < saturatedShare {
+		return false
+	}
+	if now.Sub(s.unreadyUntil) < relapseTime {
+		s.unreadyTime = min(2*s.unreadyTime, maxUnreadyTime)
+	} else {
+		s.unreadyTime = minUnreadyTime
+	}
+	s.unreadyUntil = now.Add(s.unreadyTime)
+	return true
+}
+
+// overload is what the requests and the readiness check see of the load of the processor.
+type overload struct {
+	// sharePPM is the share of requests to refuse, in millionths.
+	sharePPM atomic.Int64
+	// saturated is set while the router reports itself unready because of its load.
+	saturated atomic.Bool
+}
+
+// watchLag keeps the share of refused requests and the readiness up to date until ctx
+// ends.
+func (r *Router) watchLag(ctx context.Context) {
+	var shedder loadShedder
+	var limit saturation
+	gauge := r.opts.Metrics.Gauge("shed_share")
+	timer := time.NewTimer(lagSampleInterval)
+	defer timer.Stop()
+	started := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		shedder.observe(time.Since(started) - lagSampleInterval)
+		started = time.Now()
+		timer.Reset(lagSampleInterval)
+		r.overload.sharePPM.Store(int64(shedder.share * 1e6))
+		gauge.Update(shedder.share)
+		unready := limit.update(started, shedder.share)
+		if r.overload.saturated.Swap(unready) != unready {
+			r.logger.Warn("processor saturated", "unready", unready, "for", limit.unreadyTime.String(),
+				"refused_share", shedder.share, "lag_us", shedder.lag.Microseconds())
+		}
+	}
+}
+
+// checkOverload refuses a share of the requests while the processor is overloaded. Its
+// error is a *refusal.Error.
+func (x *exchange) checkOverload() error {
+	share := float64(x.router.overload.sharePPM.Load()) / 1e6
+	if !x.route.Streaming {
+		// A single response costs a small part of a stream, so that refusing it relieves
+		// little. It is refused only if the streams don't suffice.
+		share = 2*share - 1
+	}
+	if share <= 0 || rand.Float64() >= share {
+		return nil
+	}
+	wait := minShedRetryAfter + rand.N(minShedRetryAfter)
+	return refusal.NotRun(refusal.CauseOverloaded, "processor overloaded, refusing %.0f%%", 100*share).WithRetryAfter(wait)
+}
--- a/direct/router.go
+++ b/direct/router.go
@@ -89,6 +89,7 @@
 	credit      *prepaid.Service
 	fleetCredit *fleetCredit
 	retries     *retryBudgets
+	overload    overload
 	// quarantine stops requests that crash endpoints from running again.
 	quarantine *quarantine
 	peers      *peers
@@ -143,9 +144,9 @@
 }
 
 // Ready reports whether this process can serve callers: it has a configuration and a
-// list of endpoints, and is not draining.
+// list of endpoints, is not draining, and its processor is not saturated.
 func (r *Router) Ready() bool {
-	return !r.draining.Load() && r.config.Load() != nil && r.hasEndpointList()
+	return !r.draining.Load() && !r.overload.saturated.Load() && r.config.Load() != nil && r.hasEndpointList()
 }
 
 // Run serves until ctx ends or an HTTP listener fails. At the end of ctx it drains:
@@ -176,6 +177,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { r.credit.Run(taskCtx) })
 	tasks.Go(func() { r.assignAccounts(taskCtx) })
+	tasks.Go(func() { r.watchLag(taskCtx) })
 	tasks.Go(func() { r.expireEndpoints(taskCtx) })
 	tasks.Go(func() { r.publishRouterRecord(taskCtx) })
 	tasks.Go(func() { r.servePeers(taskCtx, peerListener) })
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -37,7 +37,8 @@
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	x := &exchange{router: r, writer: w, request: req, started: time.Now(), config: r.config.Load()}
 	r.metrics.requests.Inc(1)
-	if r.draining.Load() {
+	if r.draining.Load() || r.overload.saturated.Load() {
+		// The caller's next connection goes to another router.
 		w.Header().Set("Connection", "close")
 	}
 	err := x.prepare()
@@ -78,6 +79,9 @@
 	if err := x.authenticate(); err != nil {
 		return err
 	}
+	if err := x.checkOverload(); err != nil {
+		return err
+	}
 	x.service = route.pickService(meta.ID)
 	x.rank = x.config.rank(x.workspace, route)
 	x.progress = newProgress(route)
