direct: be unready while the link is full

Ruled out: round trips to other routers as a sign, which also fail when these are cut off. Change: the bytes on the connections of callers and to endpoints are counted; a router whose link is 80% in use over a second reports itself unready, as with its processor. Requests of the first 3 s of such a load stay lost at a small VM.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -93,10 +93,10 @@
 // connection: surplus bytes of one response can't be taken for another response, and
 // no request is lost because the endpoint has just closed an idle connection. A new
 // connection costs an endpoint about 1 ms.
-func newTransport() *http.Transport {
+func newTransport(traffic *traffic) *http.Transport {
 	dialer := &net.Dialer{Timeout: endpointDialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            traffic.dial(dialer.DialContext),
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
--- a/direct/overload.go
+++ b/direct/overload.go
@@ -34,8 +34,16 @@
 	// maxShedShare leaves some requests, by whose cost a lasting overload is noticed.
 	maxShedShare = 0.9
 
-	// A router that would have to refuse more than saturatedShare reports itself unready,
-	// so that the load balancer sends its callers elsewhere: it sends a caller's retries to
+	// maxLinkShare is the share of the link's rate that requests and responses may take in
+	// one direction. The rest covers packet headers and other traffic.
+	maxLinkShare = 0.8
+
+	// linkWeight is the weight of one sample in the moving average of the traffic: a time
+	// constant of a second.
+	linkWeight = 0.02
+
+	// A router that would have to refuse more than saturatedShare, or whose link is full,
+	// reports itself unready, so that the load balancer sends its callers elsewhere: it sends a caller's retries to
 	// the router that refused. The router is ready again after minUnreadyTime, which
 	// doubles up to maxUnreadyTime if it is saturated again within relapseTime.
 	saturatedShare = 0.3
@@ -68,7 +76,8 @@
 	s.share = min(max(s.share+min(shedGain*deviation, maxShedStep), 0), maxShedShare)
 }
 
-// saturation decides when a router whose processor is overloaded reports itself unready.
+// saturation decides when a router whose processor or link is overloaded reports itself
+// unready.
 // It is pure and not safe for concurrent use.
 type saturation struct {
 	// unreadyUntil is the end of the last period, unreadyTime its length.
@@ -77,12 +86,12 @@
 }
 
 // update returns whether the router is to be unready, given the share of requests that it
-// refuses.
-func (s *saturation) update(now time.Time, share float64) (unready bool) {
+// refuses and the share of its link that is in use.
+func (s *saturation) update(now time.Time, refused, link float64) (unready bool) {
 	if now.Before(s.unreadyUntil) {
 		return true
 	}
-	if share < saturatedShare {
+	if refused < saturatedShare && link < maxLinkShare {
 		return false
 	}
 	if now.Sub(s.unreadyUntil) < relapseTime {
@@ -100,14 +109,42 @@
 	sharePPM atomic.Int64
 	// saturated is set while the router reports itself unready because of its load.
 	saturated atomic.Bool
+	// traffic counts the bytes on the connections of callers and to endpoints.
+	traffic traffic
+}
+
+// linkUse is the moving average of the share of a link that is in use in the busier
+// direction. It is pure and not safe for concurrent use.
+type linkUse struct {
+	// rate is the rate of the link in bytes a second, 0 if it is not limited.
+	rate int64
+	// received and sent are the last counts, in and out the averages of the shares.
+	received, sent int64
+	in, out        float64
 }
 
+// observe records the bytes received and sent since the start, elapsed after the last
+// sample.
+func (u *linkUse) observe(received, sent int64, elapsed time.Duration) {
+	if u.rate <= 0 || elapsed <= 0 {
+		return
+	}
+	bytes := float64(u.rate) * elapsed.Seconds()
+	u.in += linkWeight * (float64(received-u.received)/bytes - u.in)
+	u.out += linkWeight * (float64(sent-u.sent)/bytes - u.out)
+	u.received, u.sent = received, sent
+}
+
+// share returns the share of the link that is in use.
+func (u *linkUse) share() float64 { return max(u.in, u.out) }
+
 // watchLag keeps the share of refused requests and the readiness up to date until ctx
 // ends.
 func (r *Router) watchLag(ctx context.Context) {
 	var shedder loadShedder
 	var limit saturation
-	gauge := r.opts.Metrics.Gauge("shed_share")
+	link := linkUse{rate: r.opts.Settings.LinkBytesPerS}
+	shedGauge, linkGauge := r.opts.Metrics.Gauge("shed_share"), r.opts.Metrics.Gauge("link_share")
 	timer := time.NewTimer(lagSampleInterval)
 	defer timer.Stop()
 	started := time.Now()
@@ -117,15 +154,18 @@
 			return
 		case <-timer.C:
 		}
-		shedder.observe(time.Since(started) - lagSampleInterval)
+		elapsed := time.Since(started)
+		shedder.observe(elapsed - lagSampleInterval)
+		link.observe(r.overload.traffic.received.Load(), r.overload.traffic.sent.Load(), elapsed)
 		started = time.Now()
 		timer.Reset(lagSampleInterval)
 		r.overload.sharePPM.Store(int64(shedder.share * 1e6))
-		gauge.Update(shedder.share)
-		unready := limit.update(started, shedder.share)
+		shedGauge.Update(shedder.share)
+		linkGauge.Update(link.share())
+		unready := limit.update(started, shedder.share, link.share())
 		if r.overload.saturated.Swap(unready) != unready {
-			r.logger.Warn("processor saturated", "unready", unready, "for", limit.unreadyTime.String(),
-				"refused_share", shedder.share, "lag_us", shedder.lag.Microseconds())
+			r.logger.Warn("router saturated", "unready", unready, "for", limit.unreadyTime.String(),
+				"refused_share", shedder.share, "lag_us", shedder.lag.Microseconds(), "link_share", link.share())
 		}
 	}
 }
--- a/direct/overload_test.go
+++ b/direct/overload_test.go
@@ -122,16 +122,16 @@
 func TestSaturatedRouterIsUnreadyForAWhile(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	var s saturation
-	if s.update(now, 0.2) {
+	if s.update(now, 0.2, 0.5) {
 		t.Fatal("unready though most requests are accepted")
 	}
 	unreadyFor := func() time.Duration {
 		t.Helper()
-		if !s.update(now, 0.5) {
+		if !s.update(now, 0.5, 0) {
 			t.Fatal("ready though saturated")
 		}
 		started := now
-		for s.update(now, 0) {
+		for s.update(now, 0, 0) {
 			now = now.Add(100 * time.Millisecond)
 		}
 		return now.Sub(started)
@@ -146,3 +146,26 @@
 		t.Fatalf("unready for %s after a calm minute, want 10s", got)
 	}
 }
+
+// TestFullLinkMakesTheRouterUnready plays a VM with a link of 20 Mbit/s to which callers
+// send long prompts. It guards against a router that stays ready while requests wait
+// for the link: no timer is late then.
+func TestFullLinkMakesTheRouterUnready(t *testing.T) {
+	for _, c := range []struct {
+		requests, bytes int64
+		unready         bool
+	}{{15, 12_000, false}, {100, 12_000, false}, {200, 12_000, true}} {
+		u := linkUse{rate: 20 * 1_000_000 / 8}
+		var s saturation
+		now, received, unready := time.Unix(1_000_000, 0), int64(0), false
+		for i := range int64(5 * time.Second / lagSampleInterval) {
+			now = now.Add(lagSampleInterval)
+			received = i * c.requests * c.bytes / int64(time.Second/lagSampleInterval)
+			u.observe(received, received/4, lagSampleInterval)
+			unready = s.update(now, 0, u.share())
+		}
+		if unready != c.unready {
+			t.Errorf("%d requests/s: unready %v with %.2f of the link in use", c.requests, unready, u.share())
+		}
+	}
+}
--- a/direct/router.go
+++ b/direct/router.go
@@ -107,9 +107,9 @@
 		opts:        opts,
 		logger:      opts.Logger,
 		metrics:     newMetrics(opts.Metrics),
-		transport:   newTransport(),
 		retries:     newRetryBudgets(opts.Settings.MaxRetryShare, opts.Settings.MaxRetryBurst),
 	}
+	r.transport = newTransport(&r.overload.traffic)
 	self := prepaid.ProcessID{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
 	r.peers = newPeers(self, opts.Settings.FailureDomain, opts.Network, r.endpointSet, r.draining.Load, opts.Logger)
 	r.peers.tableCaller = opts.TableCaller
@@ -144,7 +144,8 @@
 }
 
 // Ready reports whether this process can serve callers: it has a configuration and a
-// list of endpoints, is not draining, and its processor is not saturated.
+// list of endpoints, is not draining, and neither its processor nor its link is
+// saturated.
 func (r *Router) Ready() bool {
 	return !r.draining.Load() && !r.overload.saturated.Load() && r.config.Load() != nil && r.hasEndpointList()
 }
@@ -171,7 +172,7 @@
 	}
 	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 2)
-	go func() { failed <- callerServer.Serve(callerListener) }()
+	go func() { failed <- callerServer.Serve(r.overload.traffic.listen(callerListener)) }()
 	go func() { failed <- readinessServer.Serve(readinessListener) }()
 	taskCtx, stopTasks := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -16,6 +16,9 @@
 	// ShutdownGrace is the time from the request to stop until the process is
 	// killed.
 	ShutdownGrace time.Duration
+	// LinkBytesPerS is the rate of the VM's network link in bytes a second in each
+	// direction, 0 if it is not limited.
+	LinkBytesPerS int64
 	// MaxRetryShare is the maximum ratio of retries to requests for a service, across
 	// the whole fleet.
 	MaxRetryShare float64
