direct: a caller that leaves doesn't exclude a holder of credit

Read in the code; the test fails before. Change: such a call is not counted, and no further holder is asked. askHolders is a function of its own. Measured: unit tests.

--- a/direct/credit.go
+++ b/direct/credit.go
@@ -91,22 +91,9 @@
 			return c.ownAnswer(req, result)
 		}
 	}
-	answer := creditAnswer{result: prepaid.Short}
-	var nearest prepaid.ProcessID
-	for _, holder := range c.peers.creditCandidates(req.workspace, maxHoldersAsked) {
-		other, ok := c.reserveAt(ctx, holder, req, 0)
-		if !ok {
-			answer.failed++
-			continue
-		}
-		answer.answered++
-		if other.result != prepaid.Short {
-			answer.result, answer.reservation = other.result, other.reservation
-			return answer
-		}
-		if nearest == (prepaid.ProcessID{}) {
-			nearest = holder
-		}
+	answer, nearest := c.askHolders(ctx, req)
+	if answer.result != prepaid.Short {
+		return answer
 	}
 	if holdsGrant || answer.answered == 0 {
 		result := c.service.Reserve(ctx, req.workspace, req.tokens, creditWaitTimeout)
@@ -114,8 +101,7 @@
 		own.answered, own.failed = answer.answered, answer.failed
 		return own
 	}
-	waited, ok := c.reserveAt(ctx, nearest, req, creditWaitTimeout)
-	if ok {
+	if waited, ok := c.reserveAt(ctx, nearest, req, creditWaitTimeout); ok {
 		answer.result, answer.reservation, answer.retryAfter = waited.result, waited.reservation, waited.retryAfter
 	}
 	if answer.result == prepaid.Short {
@@ -124,6 +110,27 @@
 	return answer
 }
 
+// askHolders asks other holders, one after another, whether their grants cover a request
+// now. nearest is the first of them that answered.
+func (c *fleetCredit) askHolders(ctx context.Context, req creditRequest) (answer creditAnswer, nearest prepaid.ProcessID) {
+	answer.result = prepaid.Short
+	for _, holder := range c.peers.creditCandidates(req.workspace, maxHoldersAsked) {
+		other, ok := c.reserveAt(ctx, holder, req, 0)
+		if !ok {
+			answer.failed++
+			continue
+		}
+		if answer.answered++; answer.answered == 1 {
+			nearest = holder
+		}
+		if other.result != prepaid.Short {
+			answer.result, answer.reservation = other.result, other.reservation
+			break
+		}
+	}
+	return answer, nearest
+}
+
 // ownAnswer returns the answer for a result of this router's own grant.
 func (c *fleetCredit) ownAnswer(req creditRequest, result prepaid.ReserveResult) creditAnswer {
 	switch result {
@@ -140,8 +147,11 @@
 
 // reserveAt asks another router for credit, which may wait for a refill. It returns false
 // if that router made no reservation and gave no reason.
-func (c *fleetCredit) reserveAt(ctx context.Context, holder prepaid.ProcessID, req creditRequest, wait time.Duration) (creditAnswer, bool) {
-	ctx, cancel := context.WithTimeout(ctx, wait+creditCallTimeout)
+func (c *fleetCredit) reserveAt(requestCtx context.Context, holder prepaid.ProcessID, req creditRequest, wait time.Duration) (creditAnswer, bool) {
+	if requestCtx.Err() != nil {
+		return creditAnswer{}, false
+	}
+	ctx, cancel := context.WithTimeout(requestCtx, wait+creditCallTimeout)
 	defer cancel()
 	id := c.lastID.Add(1)
 	conn, err := c.peers.dial(ctx, holder)
@@ -154,7 +164,9 @@
 	})
 	_ = conn.Close()
 	if err != nil {
-		c.peers.creditCallFailed(holder)
+		if requestCtx.Err() == nil {
+			c.peers.creditCallFailed(holder)
+		}
 		if !rpc.NotSent(err) {
 			// The holder may make the reservation, now or later.
 			c.settler.add(holder, &pb.CreditSettlement{Reservation: id})
--- a/direct/lender_test.go
+++ b/direct/lender_test.go
@@ -288,3 +288,19 @@
 		t.Fatal("the successor on the VM of a leaving router is no holder")
 	}
 }
+
+// TestCallerThatLeavesDoesNotExcludeTheHolder guards against holders that get no calls for
+// a while because a caller left while they were asked.
+func TestCallerThatLeavesDoesNotExcludeTheHolder(t *testing.T) {
+	f := newCreditFleet(t, 12)
+	holder, other := f.split()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	req := creditRequest{id: "r", workspace: "coffee", tokens: 500, budget: 100_000}
+	if answer := other.fleetCredit.reserve(ctx, req); answer.result != prepaid.Short {
+		t.Fatalf("result %d for a caller that left, want Short", answer.result)
+	}
+	if candidates := other.peers.creditCandidates("coffee", 1); len(candidates) == 0 || candidates[0] != holder.id {
+		t.Fatalf("the holder is excluded: %v", candidates)
+	}
+}
