--- a/direct/router.go
+++ b/direct/router.go
@@ -200,8 +200,9 @@
 }
 
 // assignAccounts keeps this router's parts of what the fleet shares up to date until ctx
-// ends: the accounts that it holds and its retry budgets. For the accounts it waits until the fleet has not changed for a while, as routers that start together come
-// to know each other one by one.
+// ends: the accounts that it holds and its retry budgets. For the accounts it waits until
+// the fleet has not changed for a while, as routers that start together come to know each
+// other one by one.
 func (r *Router) assignAccounts(ctx context.Context) {
 	ticker := time.NewTicker(assignInterval)
 	defer ticker.Stop()
