prepaid: the interval of statements follows the size of the fleet

Cause: the interval grew with the grants in a row, which are 5 to 12 now, whatever the fleet: 360 routers would write 1,224 statements a second (the new test), while the table bears some hundred. Change: the fleet's size is told with the assigned accounts. At 103 routers the interval stays 0.3 s.

--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -114,7 +114,7 @@
 	}
 	g.router.ReplaceEndpoints(list)
 	g.router.ApplyConfig(testConfig())
-	g.router.credit.SetAssigned([]string{"coffee"}, 1)
+	g.router.credit.SetAssigned([]string{"coffee"}, 1, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/direct/loads_test.go
+++ b/direct/loads_test.go
@@ -19,8 +19,8 @@
 	"jackdawswitch/standin"
 )
 
-// startPeerRouter starts the peer server and the load updates of a router with one
-// endpoint, on a host of the network. Calling stop kills the host, as a crash does.
+// startPeerRouter starts the peer server, the load updates and the expiry of a router with
+// one endpoint, on a host of the network. Calling stop kills the host, as a crash does.
 func startPeerRouter(t *testing.T, network *memnet.Network, id prepaid.ProcessID) (r *Router, stop func()) {
 	t.Helper()
 	return startPeerRouterIn(t, network, id, "fd")
@@ -39,18 +39,20 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{}, 2)
+	done := make(chan struct{}, 3)
 	server := rpc.NewServer()
 	if err := pb.DRPCRegisterRouterPeer(server.Mux(), peerServer{r.peers}); err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = server.Serve(ctx, listener); done <- struct{}{} }()
 	go func() { r.sendLoadUpdates(ctx); done <- struct{}{} }()
+	go func() { r.expireEndpoints(ctx); done <- struct{}{} }()
 	stop = func() {
 		host.Kill()
 		cancel()
-		<-done
-		<-done
+		for range cap(done) {
+			<-done
+		}
 	}
 	return r, stop
 }
--- a/direct/router.go
+++ b/direct/router.go
@@ -118,7 +118,7 @@
 		Table: opts.Table, Witnesses: r.peers, Logger: opts.Logger, Metrics: opts.Metrics,
 	})
 	// No account is assigned until the fleet is known: see assignAccounts.
-	r.credit.SetAssigned(nil, 0)
+	r.credit.SetAssigned(nil, 0, 1)
 	r.peers.credit, r.peers.lender = r.credit, newLender(r.credit, opts.Logger)
 	r.fleetCredit = newFleetCredit(r.credit, r.peers, opts.Logger, opts.Metrics)
 	r.quarantine = &quarantine{crashTracker: newCrashTracker(), router: r}
@@ -215,7 +215,7 @@
 		if cfg != nil && unchangedFor >= fleetSettleTime && (fleet != lastFleet || cfg != lastConfig) {
 			lastFleet, lastConfig = fleet, cfg
 			assigned, holders := fleet.Assigned(r.opts.Settings.VM, slices.Sorted(maps.Keys(cfg.budgets)))
-			r.credit.SetAssigned(assigned, holders)
+			r.credit.SetAssigned(assigned, holders, fleet.Size())
 			r.logger.Info("accounts assigned", "accounts", len(assigned), "holders", holders, "config_version", cfg.version)
 		}
 		select {
--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -37,12 +37,12 @@
 	accounts    map[string]*account
 	// active holds the accounts that are assigned, in use or have a grant.
 	active map[string]*account
-	// assigned are the workspaces whose grants are kept open also without requests, and
-	// holders is the number of processes to which each of them is assigned. Until
-	// SetAssigned is called, assigned is nil and all accounts are assigned, unless there
-	// are more than MaxEagerAccounts accounts.
-	assigned map[string]bool
-	holders  int
+	// assigned are the workspaces whose grants are kept open also without requests,
+	// holders is the number of processes to which each of them is assigned, and processes
+	// the number of all that write statements. Until SetAssigned is called, assigned is nil
+	// and all accounts are assigned, unless there are more than MaxEagerAccounts accounts.
+	assigned           map[string]bool
+	holders, processes int
 
 	// started is set once the predecessor's statement is known.
 	started bool
@@ -98,10 +98,11 @@
 }
 
 // SetAssigned sets the workspaces whose grants this process keeps open also without
-// requests, and the number of processes to which each of them is assigned. The grants of
-// other workspaces are opened on demand and closed once they are idle.
-func (b *Book) SetAssigned(workspaces []string, holders int) {
-	b.assigned, b.holders = make(map[string]bool, len(workspaces)), holders
+// requests, the number of processes to which each of them is assigned, and the number of
+// all processes of the fleet. The grants of other workspaces are opened on demand and
+// closed once they are idle.
+func (b *Book) SetAssigned(workspaces []string, holders, processes int) {
+	b.assigned, b.holders, b.processes = make(map[string]bool, len(workspaces)), holders, processes
 	for _, workspace := range workspaces {
 		b.assigned[workspace] = true
 	}
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -100,16 +100,16 @@
 
 // The three ways to hold the credit of a workspace.
 func everyRouterHolds(_ *fleetWorld, _ string, b *prepaid.Book) {
-	b.SetAssigned([]string{workspace}, 0)
+	b.SetAssigned([]string{workspace}, 0, 0)
 }
 
 func everyRouterHoldsAnEqualShare(f *fleetWorld, _ string, b *prepaid.Book) {
-	b.SetAssigned([]string{workspace}, len(f.members))
+	b.SetAssigned([]string{workspace}, len(f.members), len(f.members))
 }
 
 func fewHold(f *fleetWorld, vm string, b *prepaid.Book) {
 	assigned, holders := f.fleet.Assigned(vm, []string{workspace})
-	b.SetAssigned(assigned, holders)
+	b.SetAssigned(assigned, holders, f.fleet.Size())
 }
 
 // tick lets the table and the routers work for one step.
@@ -297,3 +297,34 @@
 		}
 	}
 }
+
+// TestStatementsOfALargeFleetStayWithinTheTablesRate guards against statements of all
+// routers that together exceed some hundred writes a second, the table's limit at full
+// size. All routers spend all the time, although few hold a grant of each workspace.
+func TestStatementsOfALargeFleetStayWithinTheTablesRate(t *testing.T) {
+	const seconds = 5
+	for _, routers := range []int{5, 103, 360} {
+		now := time.Unix(1_000_000, 0)
+		b := prepaid.NewBook("a", 1, prepaid.DefaultPolicy())
+		b.SetBudgets(map[string]int64{workspace: 10_000_000})
+		b.SetAssigned([]string{workspace}, 12, routers)
+		b.Start(prepaid.Statement{}, 0, now.UnixMilli(), prepaid.RecalledLimits{})
+		write := b.PlanUpdate(now, workspace, prepaid.Row{}, 0)
+		b.WriteCommitted(now, write, 1)
+		statements := 0
+		for range seconds * 100 {
+			now = now.Add(10 * time.Millisecond)
+			if b.Reserve(now, workspace, 10) == prepaid.Reserved {
+				b.Settle(workspace, 10, 10)
+			}
+			if b.StatementDue(now) {
+				s, version := b.NextStatement(now, now.UnixMilli())
+				b.StatementCommitted(s.Sequence, version+1)
+				statements++
+			}
+		}
+		if rate := statements * routers / seconds; rate > 500 {
+			t.Errorf("%d routers write %d statements a second", routers, rate)
+		}
+	}
+}
--- a/prepaid/holders.go
+++ b/prepaid/holders.go
@@ -105,6 +105,9 @@
 	return out
 }
 
+// Size returns the number of routers.
+func (f *Fleet) Size() int { return f.size }
+
 // Assigned returns the workspaces of which a process is a holder, and the number of
 // holders of each. It returns no workspaces if there are so many that each router would
 // hold more than maxAssigned.
--- a/prepaid/machine_test.go
+++ b/prepaid/machine_test.go
@@ -74,7 +74,7 @@
 				if rapid.Bool().Draw(t, "holds") {
 					assigned = []string{workspace}
 				}
-				w.processes[vm].book.SetAssigned(assigned, rapid.IntRange(0, 5).Draw(t, "holders"))
+				w.processes[vm].book.SetAssigned(assigned, rapid.IntRange(0, 5).Draw(t, "holders"), rapid.IntRange(0, 400).Draw(t, "processes"))
 			}),
 			"land":  w.landPendingWrite,
 			"raise": func(t *rapid.T) { w.raiseBudget(rapid.Int64Range(0, 1000).Draw(t, "more")) },
@@ -368,7 +368,7 @@
 	spent := w.spendAll(w.processes["a"])
 	held := w.account.row.Grants["a"].Amount
 	w.kill("a")
-	w.processes["a"].book.SetAssigned(nil, 2)
+	w.processes["a"].book.SetAssigned(nil, 2, 3)
 	for range 5 {
 		w.now = w.now.Add(50 * time.Millisecond)
 		w.renewDue("a")
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -126,11 +126,12 @@
 	s.wake()
 }
 
-// SetAssigned sets the workspaces whose grants are kept open also without requests, and
-// the number of processes to which each of them is assigned.
-func (s *Service) SetAssigned(workspaces []string, holders int) {
+// SetAssigned sets the workspaces whose grants are kept open also without requests, the
+// number of processes to which each of them is assigned, and the number of all processes
+// of the fleet.
+func (s *Service) SetAssigned(workspaces []string, holders, processes int) {
 	s.mu.Lock()
-	s.book.SetAssigned(workspaces, holders)
+	s.book.SetAssigned(workspaces, holders, processes)
 	s.mu.Unlock()
 	s.wake()
 }
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -131,9 +131,8 @@
 	ordinaryDelay  = time.Second
 
 	// The time between two statements while credit is spent grows with the number of
-	// routers that hold grants, so that all of them together write at most some hundred
-	// rows a second.
-	intervalPerHolder    = 2500 * time.Microsecond
+	// processes, so that all of them together write at most some hundred rows a second.
+	intervalPerProcess   = 2500 * time.Microsecond
 	minStatementInterval = 300 * time.Millisecond
 	maxStatementInterval = time.Second
 
@@ -230,11 +229,11 @@
 // statementInterval returns the least time between two statements whose only purpose is
 // to report spending.
 func (b *Book) statementInterval() time.Duration {
-	holders := 0
+	processes := b.processes
 	for _, a := range b.active {
-		holders = max(holders, len(a.row.Grants))
+		processes = max(processes, len(a.row.Grants))
 	}
-	return min(max(time.Duration(holders)*intervalPerHolder, minStatementInterval), maxStatementInterval)
+	return min(max(time.Duration(processes)*intervalPerProcess, minStatementInterval), maxStatementInterval)
 }
 
 // Start takes over from the VM's predecessor process: last is its statement (the zero
