direct: no promise of "not run" after an attempt that may have run

Cause: when the next attempt found no endpoint, the request was refused as not run with 503 though an earlier attempt had reached an endpoint and broken off. It concerns requests that may be repeated or resumed. Seen while adding another reason to stop before an attempt; the new test fails before (503, notRun true after one run). Change: such a refusal is used in the state unsent only, else the one for the attempts so far. Measured: unit tests.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -71,7 +71,7 @@
 	for {
 		choice, err := x.router.pick(x.pickerQuery())
 		if err != nil {
-			return x.giveUp(refusal.FromError(err))
+			return x.giveUpBeforeSending(refusal.FromError(err))
 		}
 		x.progress.step(eventSend)
 		x.router.metrics.attempts.Inc(1)
@@ -161,6 +161,15 @@
 	return r
 }
 
+// giveUpBeforeSending ends the exchange before its next attempt. A refusal as "not run"
+// replaces the one for the earlier attempts only if none of them may have run the request.
+func (x *exchange) giveUpBeforeSending(r *refusal.Error) error {
+	if x.progress.state != stateUnsent {
+		r = x.failureRefusal()
+	}
+	return x.giveUp(r)
+}
+
 // failureRefusal returns the refusal for the exchange's state after its last
 // attempt.
 func (x *exchange) failureRefusal() *refusal.Error {
--- a/direct/router_test.go
+++ b/direct/router_test.go
@@ -277,3 +277,13 @@
 		}
 	}
 }
+
+// TestRequestThatMayHaveRunIsNotRefusedAsNotRun guards against a false "not run": the only
+// endpoint broke off its response to a request that may be repeated, and there is no other
+// one, or the process has stalled.
+func TestRequestThatMayHaveRunIsNotRefusedAsNotRun(t *testing.T) {
+	g := newTestRouter(t, 1, func(w http.ResponseWriter, _ *http.Request) { resetConnection(w) })
+	if got := g.send(http.MethodGet, "/read/a", ""); got.status != http.StatusBadGateway || strings.Contains(got.body, `"notRun":true`) || g.runs() != 1 {
+		t.Fatalf("%d runs, response %+v, want 502 without a promise", g.runs(), got)
+	}
+}
