direct: send nothing after a stall until the state is current

The sample of the lag is bounded at 50 ms, so that one stall of 4.5 s hardly counted. Ruled out: a larger bound of the sample, which takes a paused process for an overloaded one. Change: requests are refused as not run while the last sample is over 0.5 s old and for 0.3 s after such a stall, at their admission and before each attempt. A stall also makes the router unready. Measured: the unit test fails if checkStall never refuses.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -69,6 +69,9 @@
 // allowed. Its error is a *refusal.Error.
 func (x *exchange) run(ctx context.Context) error {
 	for {
+		if err := x.checkStall(); err != nil {
+			return x.giveUpBeforeSending(refusal.FromError(err))
+		}
 		choice, err := x.router.pick(x.pickerQuery())
 		if err != nil {
 			return x.giveUpBeforeSending(refusal.FromError(err))
--- a/direct/overload.go
+++ b/direct/overload.go
@@ -42,8 +42,15 @@
 	// constant of a second.
 	linkWeight = 0.02
 
-	// A router that would have to refuse more than saturatedShare, or whose link is full,
-	// reports itself unready, so that the load balancer sends its callers elsewhere: it sends a caller's retries to
+	// maxTickAge is the age of the last sample from which the process counts as stalled: it
+	// was paused, or got no processor time. After a stall it accepts no request for
+	// stallRecovery. Requests that waited meanwhile may be of callers that have left, and
+	// changes of the endpoints are not known yet.
+	maxTickAge    = 500 * time.Millisecond
+	stallRecovery = 300 * time.Millisecond
+
+	// A router that would have to refuse more than saturatedShare, whose link is full, or
+	// whose process stalled, reports itself unready, so that the load balancer sends its callers elsewhere: it sends a caller's retries to
 	// the router that refused. The router is ready again after minUnreadyTime, which
 	// doubles up to maxUnreadyTime if it is saturated again within relapseTime.
 	saturatedShare = 0.3
@@ -86,12 +93,12 @@
 }
 
 // update returns whether the router is to be unready, given the share of requests that it
-// refuses and the share of its link that is in use.
-func (s *saturation) update(now time.Time, refused, link float64) (unready bool) {
+// refuses, the share of its link that is in use, and whether the process has stalled.
+func (s *saturation) update(now time.Time, refused, link float64, stalled bool) (unready bool) {
 	if now.Before(s.unreadyUntil) {
 		return true
 	}
-	if refused < saturatedShare && link < maxLinkShare {
+	if refused < saturatedShare && link < maxLinkShare && !stalled {
 		return false
 	}
 	if now.Sub(s.unreadyUntil) < relapseTime {
@@ -103,12 +110,44 @@
 	return true
 }
 
+// stallGuard tells requests that the process has stalled, also those that run before the
+// next sample. Times are durations since the start of the process. It is safe for
+// concurrent use.
+type stallGuard struct {
+	// lastTick is the time of the last sample in nanoseconds, 0 before the first.
+	// resumeAt is the time from which requests are accepted again.
+	lastTick, resumeAt atomic.Int64
+}
+
+// tick records a sample and reports whether the process has stalled before it.
+func (g *stallGuard) tick(now time.Duration) (stalled bool) {
+	stalled = g.isOld(now)
+	if stalled {
+		g.resumeAt.Store(int64(now + stallRecovery))
+	}
+	g.lastTick.Store(int64(now))
+	return stalled
+}
+
+func (g *stallGuard) isOld(now time.Duration) bool {
+	last := g.lastTick.Load()
+	return last > 0 && now-time.Duration(last) > maxTickAge
+}
+
+// blocks reports whether requests are to be refused because of a stall.
+func (g *stallGuard) blocks(now time.Duration) bool {
+	return g.isOld(now) || now < time.Duration(g.resumeAt.Load())
+}
+
 // overload is what the requests and the readiness check see of the load of the processor.
 type overload struct {
 	// sharePPM is the share of requests to refuse, in millionths.
 	sharePPM atomic.Int64
 	// saturated is set while the router reports itself unready because of its load.
 	saturated atomic.Bool
+	// started is when the router was made, the origin of the stall guard's times.
+	started time.Time
+	stalls  stallGuard
 	// traffic counts the bytes on the connections of callers and to endpoints.
 	traffic traffic
 }
@@ -162,7 +201,11 @@
 		r.overload.sharePPM.Store(int64(shedder.share * 1e6))
 		shedGauge.Update(shedder.share)
 		linkGauge.Update(link.share())
-		unready := limit.update(started, shedder.share, link.share())
+		stalled := r.overload.stalls.tick(time.Since(r.overload.started))
+		if stalled {
+			r.logger.Warn("process stalled; refusing requests until its state is current", "for", elapsed.String(), "resume_in", stallRecovery.String())
+		}
+		unready := limit.update(started, shedder.share, link.share(), stalled)
 		if r.overload.saturated.Swap(unready) != unready {
 			r.logger.Warn("router saturated", "unready", unready, "for", limit.unreadyTime.String(),
 				"refused_share", shedder.share, "lag_us", shedder.lag.Microseconds(), "link_share", link.share())
@@ -170,9 +213,22 @@
 	}
 }
 
-// checkOverload refuses a share of the requests while the processor is overloaded. Its
-// error is a *refusal.Error.
+// checkStall refuses a request that isn't sent yet if the process has stalled. Its error
+// is a *refusal.Error.
+func (x *exchange) checkStall() error {
+	o := &x.router.overload
+	if !o.stalls.blocks(time.Since(o.started)) {
+		return nil
+	}
+	return refusal.NotRun(refusal.CauseOverloaded, "the process stalled").WithRetryAfter(stallRecovery + rand.N(minShedRetryAfter))
+}
+
+// checkOverload refuses requests after a stall, and a share of them while the processor
+// is overloaded. Its error is a *refusal.Error.
 func (x *exchange) checkOverload() error {
+	if err := x.checkStall(); err != nil {
+		return err
+	}
 	share := float64(x.router.overload.sharePPM.Load()) / 1e6
 	if !x.route.Streaming {
 		// A single response costs a small part of a stream, so that refusing it relieves
--- a/direct/overload_test.go
+++ b/direct/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"testing"
 	"time"
@@ -122,16 +123,16 @@
 func TestSaturatedRouterIsUnreadyForAWhile(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
 	var s saturation
-	if s.update(now, 0.2, 0.5) {
+	if s.update(now, 0.2, 0.5, false) {
 		t.Fatal("unready though most requests are accepted")
 	}
 	unreadyFor := func() time.Duration {
 		t.Helper()
-		if !s.update(now, 0.5, 0) {
+		if !s.update(now, 0.5, 0, false) {
 			t.Fatal("ready though saturated")
 		}
 		started := now
-		for s.update(now, 0, 0) {
+		for s.update(now, 0, 0, false) {
 			now = now.Add(100 * time.Millisecond)
 		}
 		return now.Sub(started)
@@ -142,6 +143,10 @@
 		}
 	}
 	now = now.Add(time.Minute)
+	if !s.update(now, 0, 0, true) {
+		t.Fatal("ready after a stall")
+	}
+	now = now.Add(time.Minute)
 	if got := unreadyFor(); got != 10*time.Second {
 		t.Fatalf("unready for %s after a calm minute, want 10s", got)
 	}
@@ -162,10 +167,38 @@
 			now = now.Add(lagSampleInterval)
 			received = i * c.requests * c.bytes / int64(time.Second/lagSampleInterval)
 			u.observe(received, received/4, lagSampleInterval)
-			unready = s.update(now, 0, u.share())
+			unready = s.update(now, 0, u.share(), false)
 		}
 		if unready != c.unready {
 			t.Errorf("%d requests/s: unready %v with %.2f of the link in use", c.requests, unready, u.share())
 		}
 	}
 }
+
+// TestStalledProcessSendsNothing guards against requests that are sent after their callers
+// have left, or to endpoints that have announced their leaving: the process got no
+// processor time for seconds, and handles what waited before it knows of either.
+func TestStalledProcessSendsNothing(t *testing.T) {
+	g := newTestRouter(t, 1, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 1) })
+	g.awaitGrant()
+	send := func() callerResponse {
+		return g.send(http.MethodPost, "/stream/a", "x", "T-Prompt", "100", "T-Output", "50")
+	}
+	o := &g.router.overload
+	o.started = time.Now().Add(-10 * time.Second)
+	o.stalls.tick(5 * time.Second)
+	if got := send(); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" || g.runs() != 0 {
+		t.Fatalf("during the stall: %d runs, response %+v", g.runs(), got)
+	}
+	if !o.stalls.tick(time.Since(o.started)) {
+		t.Fatal("the stall isn't noticed")
+	}
+	if got := send(); got.status != http.StatusServiceUnavailable {
+		t.Fatalf("right after the stall: response %+v", got)
+	}
+	time.Sleep(stallRecovery)
+	o.stalls.tick(time.Since(o.started))
+	if got := send(); got.status != http.StatusOK {
+		t.Fatalf("after the stall: response %+v", got)
+	}
+}
--- a/direct/router.go
+++ b/direct/router.go
@@ -109,6 +109,7 @@
 		metrics:     newMetrics(opts.Metrics),
 		retries:     newRetryBudgets(opts.Settings.MaxRetryShare, opts.Settings.MaxRetryBurst),
 	}
+	r.overload.started = time.Now()
 	r.transport = newTransport(&r.overload.traffic)
 	self := prepaid.ProcessID{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
 	r.peers = newPeers(self, opts.Settings.FailureDomain, opts.Network, r.endpointSet, r.draining.Load, opts.Logger)
