--- a/direct/router.go
+++ b/direct/router.go
@@ -109,6 +109,7 @@
 		metrics:     newMetrics(opts.Metrics),
 		retries:     newRetryBudgets(opts.Settings.MaxRetryShare, opts.Settings.MaxRetryBurst),
 	}
+	r.overload.started = time.Now()
 	r.transport = newTransport(&r.overload.traffic)
 	self := prepaid.ProcessID{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
 	r.peers = newPeers(self, opts.Settings.FailureDomain, opts.Network, r.endpointSet, r.draining.Load, opts.Logger)
@@ -118,7 +119,7 @@
 		Table: opts.Table, Witnesses: r.peers, Logger: opts.Logger, Metrics: opts.Metrics,
 	})
 	// No account is assigned until the fleet is known: see assignAccounts.
-	r.credit.SetAssigned(nil, 0)
+	r.credit.SetAssigned(nil, 0, 1)
 	r.peers.credit, r.peers.lender = r.credit, newLender(r.credit, opts.Logger)
 	r.fleetCredit = newFleetCredit(r.credit, r.peers, opts.Logger, opts.Metrics)
 	r.quarantine = &quarantine{crashTracker: newCrashTracker(), router: r}
@@ -200,8 +201,9 @@
 }
 
 // assignAccounts keeps this router's parts of what the fleet shares up to date until ctx
-// ends: the accounts that it holds and its retry budgets. For the accounts it waits until the fleet has not changed for a while, as routers that start together come
-// to know each other one by one.
+// ends: the accounts that it holds and its retry budgets. For the accounts it waits until
+// the fleet has not changed for a while, as routers that start together come to know each
+// other one by one.
 func (r *Router) assignAccounts(ctx context.Context) {
 	ticker := time.NewTicker(assignInterval)
 	defer ticker.Stop()
@@ -214,7 +216,7 @@
 		if cfg != nil && unchangedFor >= fleetSettleTime && (fleet != lastFleet || cfg != lastConfig) {
 			lastFleet, lastConfig = fleet, cfg
 			assigned, holders := fleet.Assigned(r.opts.Settings.VM, slices.Sorted(maps.Keys(cfg.budgets)))
-			r.credit.SetAssigned(assigned, holders)
+			r.credit.SetAssigned(assigned, holders, fleet.Size())
 			r.logger.Info("accounts assigned", "accounts", len(assigned), "holders", holders, "config_version", cfg.version)
 		}
 		select {
