--- a/direct/lender_test.go
+++ b/direct/lender_test.go
@@ -26,6 +26,9 @@
 	stop func()
 }
 
+// creditFleetSize is more than twice the number of holders of a workspace.
+const creditFleetSize = 12
+
 // creditFleet is a fleet of routers that share one table.
 type creditFleet struct {
 	t           *testing.T
@@ -35,10 +38,10 @@
 	incarnation int64
 }
 
-func newCreditFleet(t *testing.T, n int) *creditFleet {
+func newCreditFleet(t *testing.T) *creditFleet {
 	t.Helper()
 	f := &creditFleet{t: t, network: memnet.New(), table: standin.NewTable(), routers: make(map[string]*creditRouter)}
-	for i := range n {
+	for i := range creditFleetSize {
 		f.start(fmt.Sprintf("vm%02d", i))
 	}
 	t.Cleanup(func() {
@@ -50,7 +53,7 @@
 }
 
 // start starts a router process, and makes it and the others known to each other.
-func (f *creditFleet) start(vm string) *creditRouter {
+func (f *creditFleet) start(vm string) {
 	f.t.Helper()
 	f.incarnation++
 	host := f.network.Host(vm)
@@ -86,7 +89,6 @@
 	}
 	f.routers[vm] = r
 	r.ApplyConfig(testConfig())
-	return r
 }
 
 // split returns a holder of the test workspace that has a grant, and a router that is not
@@ -125,7 +127,7 @@
 // fleet writes, which the table can't bear, and whose budget lies in pieces that are too
 // small for a request. A router that isn't a holder spends the credit of one.
 func TestOnlyHoldersWriteAnAccount(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	holder, other := f.split()
 	res := other.reserve(t, 900)
 	if res.holder != holder.id || holder.account().Reserved != 900 {
@@ -149,7 +151,7 @@
 // TestCreditOfAnotherHolderCoversACut guards against refusals while the table is
 // unavailable and the router's own grant is used up, though others have credit.
 func TestCreditOfAnotherHolderCoversACut(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	holder, other := f.split()
 	f.table.SetFaults(standin.Faults{Down: true})
 	for holder.credit.TryReserve("coffee", 500) == prepaid.Reserved {
@@ -169,7 +171,7 @@
 // spend: the router that made a reservation is killed while its request runs. It also
 // guards against credit that stays reserved for ever.
 func TestReservationsOfAnEndedRouterCountInFull(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	holder, other := f.split()
 	other.reserve(t, 700)
 	last := other.id
@@ -189,7 +191,7 @@
 // caller takes its credit elsewhere, and the holder then gets the settlement first. The
 // reservation must not stay open.
 func TestSettlementThatOvertakesItsReservation(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	holder, other := f.split()
 	lender := holder.peers.lender
 	key, r := lentKey{from: other.id, id: 1}, lentReservation{workspace: "coffee", tokens: 400}
@@ -216,7 +218,7 @@
 // TestUnreachableHolderIsReplaced guards against requests that wait for a holder that
 // doesn't answer, and against a reservation that stays open as its answer was lost.
 func TestUnreachableHolderIsReplaced(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	holder, other := f.split()
 	f.network.Block(other.id.VM, holder.id.VM)
 	started := time.Now()
@@ -236,7 +238,7 @@
 // TestDrainingRouterReservesNothingForOthers: a router that is about to stop must get no
 // new reservations, as it returns its grants.
 func TestDrainingRouterReservesNothingForOthers(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	holder, other := f.split()
 	holder.draining.Store(true)
 	if res := other.reserve(t, 500); res.holder == holder.id {
@@ -248,7 +250,7 @@
 // has not applied that configuration yet. Its answer that the budget is exhausted must not
 // become a refusal for good.
 func TestHolderWithAnOlderBudgetDoesNotRefuseForGood(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	_, other := f.split()
 	ask := func(budget int64) prepaid.ReserveResult {
 		req := creditRequest{id: "r", workspace: "coffee", tokens: 150_000, budget: budget}
@@ -265,7 +267,7 @@
 // TestLeavingRouterIsNoHolder guards against callers that wait for a router which was
 // removed for good: its record in the table stays.
 func TestLeavingRouterIsNoHolder(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	holder, other := f.split()
 	record := func(leaving bool) []byte {
 		data, err := json.Marshal(routerRecord{Incarnation: holder.id.Incarnation, Address: holder.id.VM, FailureDomain: "fd", Leaving: leaving})
@@ -292,7 +294,7 @@
 // TestCallerThatLeavesDoesNotExcludeTheHolder guards against holders that get no calls for
 // a while because a caller left while they were asked.
 func TestCallerThatLeavesDoesNotExcludeTheHolder(t *testing.T) {
-	f := newCreditFleet(t, 12)
+	f := newCreditFleet(t)
 	holder, other := f.split()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/direct/overload_test.go
+++ b/direct/overload_test.go
@@ -24,7 +24,7 @@
 
 // cpuStep is a step of a request that becomes ready at a time. left is the number of
 // steps that follow, 0 for a timer.
-type cpuStep struct{ at, arrived, cost, left float64 }
+type cpuStep struct{ at, arrived, left float64 }
 
 const (
 	// A request takes 0.7 ms of a core, in 20 steps 1 ms apart; a refused one 0.13 ms.
@@ -162,10 +162,10 @@
 	}{{15, 12_000, false}, {100, 12_000, false}, {200, 12_000, true}} {
 		u := linkUse{rate: 20 * 1_000_000 / 8}
 		var s saturation
-		now, received, unready := time.Unix(1_000_000, 0), int64(0), false
+		now, unready := time.Unix(1_000_000, 0), false
 		for i := range int64(5 * time.Second / lagSampleInterval) {
 			now = now.Add(lagSampleInterval)
-			received = i * c.requests * c.bytes / int64(time.Second/lagSampleInterval)
+			received := i * c.requests * c.bytes / int64(time.Second/lagSampleInterval)
 			u.observe(received, received/4, lagSampleInterval)
 			unready = s.update(now, 0, u.share(), false)
 		}
