--- a/direct/overload.go
+++ b/direct/overload.go
@@ -50,25 +50,23 @@
 	stallRecovery = 300 * time.Millisecond
 
 	// A router that would have to refuse more than saturatedShare, whose link is full, or
-	// whose process stalled, reports itself unready, so that the load balancer sends its callers elsewhere: it sends a caller's retries to
-	// the router that refused. The router is ready again after minUnreadyTime, which
-	// doubles up to maxUnreadyTime if it is saturated again within relapseTime.
+	// whose process stalled, reports itself unready, so that the load balancer sends its
+	// callers elsewhere. Otherwise it sends a caller's retries to the router that refused.
+	// The router is ready again after minUnreadyTime, which doubles up to maxUnreadyTime if
+	// it is saturated again within relapseTime.
 	saturatedShare = 0.3
 	minUnreadyTime = 10 * time.Second
 	maxUnreadyTime = time.Minute
 	relapseTime    = 10 * time.Second
 
-	// A refused caller may come back after minShedRetryAfter to twice that, at another
-	// router.
+	// A refused caller may come back after minShedRetryAfter to twice that.
 	minShedRetryAfter = 50 * time.Millisecond
 )
 
 // loadShedder decides which share of the requests a router refuses because its processor
 // is overloaded. It answers the load of a VM with a small share of a core to which the
 // load balancer, which hashes callers, sends many times the requests of the others: those
-// that it accepts are then served in time, and the refused ones at other routers.
-//
-// It is pure and not safe for concurrent use.
+// that it accepts are then served in time. It is pure and not safe for concurrent use.
 type loadShedder struct {
 	// lag is the moving average of the lag, share the share of requests to refuse.
 	lag   time.Duration
@@ -84,8 +82,7 @@
 }
 
 // saturation decides when a router whose processor or link is overloaded reports itself
-// unready.
-// It is pure and not safe for concurrent use.
+// unready. It is pure and not safe for concurrent use.
 type saturation struct {
 	// unreadyUntil is the end of the last period, unreadyTime its length.
 	unreadyUntil time.Time
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -171,7 +171,7 @@
 	return p.fleet, time.Since(p.fleetChangedAt)
 }
 
-// creditCandidates returns up to limit other holders of a workspace that are worth a call,
+// creditCandidates returns up to limit other holders of a workspace that are not excluded,
 // in the order in which this router asks them.
 func (p *peers) creditCandidates(workspace string, limit int) []prepaid.ProcessID {
 	fleet, _ := p.currentFleet()
--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -1,6 +1,7 @@
-// Package prepaid lets routers spend the prepaid token budgets of workspaces. Each
-// router spends from a grant of its own, which is durable before it is used. So a workspace can't overspend while the table is unavailable,
-// and its requests aren't refused at once either.
+// Package prepaid lets routers spend the prepaid token budgets of workspaces. A few routers,
+// the holders of a workspace, spend from grants of their own, which are durable before
+// they are used. So a workspace can't overspend while the table is unavailable, and its
+// requests aren't refused at once either. Other routers reserve credit at a holder.
 //
 // A grant is large enough to last through a table outage, and most of it would be lost
 // with a process that dies. So each process also writes a statement in a row of its
