dispatch: a stopping router waits for its reports of outcomes

The report of an outcome to the home is retried in a goroutine that nothing waits for or ends, for up to 30 s. The router is killed right after the answer, so the first report fails in some runs. The fault is also one of operation: a router that stops while a home is unreachable for a moment loses the report.

Ruled out: load of the machine.

Change: the dispatcher knows its background reports; Close waits for them and gives up what still fails when its context ends. A draining router closes it after the last request and before the credit is flushed, for at most 5 s, and at once when the stop is forced.

--- a/router/dispatch/dispatch.go
+++ b/router/dispatch/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -92,11 +93,25 @@
 // Dispatcher runs requests from admission to the end of the response.
 type Dispatcher struct {
 	opts Options
+	// reports are the reports of outcomes that are retried in the background, until
+	// reportCtx ends.
+	reports     sync.WaitGroup
+	reportCtx   context.Context
+	stopReports context.CancelFunc
 }
 
-// New returns a dispatcher.
+// New returns a dispatcher. It must be closed.
 func New(opts Options) *Dispatcher {
-	return &Dispatcher{opts: opts}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Dispatcher{opts: opts, reportCtx: ctx, stopReports: stop}
+}
+
+// Close waits until the homes have accepted the outcomes of all requests. Reports that
+// still fail are given up when ctx ends. No request may be running.
+func (d *Dispatcher) Close(ctx context.Context) {
+	defer context.AfterFunc(ctx, d.stopReports)()
+	d.reports.Wait()
+	d.stopReports()
 }
 
 // Do runs one request and writes the response to sink. A request over its
--- a/router/dispatch/run.go
+++ b/router/dispatch/run.go
@@ -297,7 +297,7 @@
 	// The agent's receipt doesn't replace this report: the agent may crash
 	// before it delivers the receipt, and it has none of a request that did not
 	// run.
-	go r.retryReport(detached, msg)
+	r.dispatcher.reports.Go(func() { r.retryReport(detached, msg) })
 	return nil
 }
 
@@ -317,8 +317,11 @@
 }
 
 // retryReport repeats a report until the home accepts it, for at most
-// reportRetryDuration.
+// reportRetryDuration and until the dispatcher gives it up.
 func (r *requestRun) retryReport(ctx context.Context, msg *pb.FinishRequest) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.dispatcher.reportCtx, cancel)()
 	deadline := time.Now().Add(reportRetryDuration)
 	for sleep(ctx, reportRetryInterval, deadline) {
 		if _, err := r.sendOutcome(ctx, msg); err == nil {
--- a/router/router.go
+++ b/router/router.go
@@ -34,6 +34,7 @@
 	home        *home.Server
 	endpoints   *endpoints
 	admitter    *admitter
+	dispatcher  *dispatch.Dispatcher
 	callers     *callers.Server
 	orders      *orders.Service
 	keyring     atomic.Pointer[secure.Keyring]
@@ -135,7 +136,7 @@
 }
 
 func (r *Router) newCallers() error {
-	dispatcher := dispatch.New(dispatch.Options{
+	r.dispatcher = dispatch.New(dispatch.Options{
 		Self:      r.self,
 		Homes:     &homes{self: r.self, local: r.home, peer: r.peer, client: r.client},
 		Endpoints: r.endpoints,
@@ -147,7 +148,7 @@
 	server, err := callers.New(callers.Options{
 		Config:     r.configStore.Current,
 		Workspace:  func(key string) (string, bool) { return r.keyring.Load().Workspace(key) },
-		Dispatcher: dispatcher,
+		Dispatcher: r.dispatcher,
 		Logger:     r.opts.Logger,
 		Metrics:    r.opts.Metrics,
 	})
--- a/router/run.go
+++ b/router/run.go
@@ -14,6 +14,7 @@
 
 const (
 	handOverTimeout = 5 * time.Second
+	reportTimeout   = 5 * time.Second
 	flushTimeout    = 5 * time.Second
 )
 
@@ -43,6 +44,7 @@
 	go func() { served <- r.callers.Serve(servingCtx, force, callerListener, r.drainTime()) }()
 	select {
 	case err := <-served:
+		r.closeDispatcher(force)
 		return err
 	case <-ctx.Done():
 	}
@@ -86,8 +88,8 @@
 
 // drain shuts the router down in steps: it announces that it is leaving, hands its
 // partitions over, waits until load balancers have stopped sending requests, lets
-// in-flight requests finish, and flushes the credit. In this order no request and
-// no bill is lost.
+// in-flight requests finish, reports their outcomes, and flushes the credit. In this
+// order no request and no bill is lost.
 func (r *Router) drain(force context.Context, stopServing func(), served <-chan error) error {
 	r.opts.Logger.Info("draining")
 	r.draining.Store(true)
@@ -98,6 +100,7 @@
 	sleep(force, config.Seconds(r.opts.Settings.BalancerDelaySeconds))
 	stopServing()
 	err := <-served
+	r.closeDispatcher(force)
 	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(force), flushTimeout)
 	defer cancel()
 	if flushErr := r.credit.Flush(flushCtx); flushErr != nil {
@@ -107,6 +110,14 @@
 	return err
 }
 
+// closeDispatcher waits until the outcomes of all requests are reported to their homes, at
+// most reportTimeout and until force ends.
+func (r *Router) closeDispatcher(force context.Context) {
+	ctx, cancel := context.WithTimeout(force, reportTimeout)
+	defer cancel()
+	r.dispatcher.Close(ctx)
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
