prepaid: kills of all processes charge less of a budget

The reach of a witness counted from an age of 1 s on, restarts take 0.5 to 1.5 s, and to that came the time until the statement was read: with the witness dead too 600 ms of waiting for it, during an outage of the table all of the outage. Bursts were up to four times those of a low budget.

Change: the predecessor is charged until its successor's process started, by the table's clock in the answer that brings the statement. The witness may acknowledge the reach from an age of 1.9 s on. Bursts grow up to those of a budget that lasts 45 s, not 80.

--- /dev/null
+++ b/prepaid/kills_test.go
@@ -0,0 +1,71 @@
+package prepaid_test
+
+import (
+	"testing"
+	"time"
+)
+
+// restartTime is how long a killed process is down on the deployments.
+const restartTime = 1500 * time.Millisecond
+
+// killAll kills all processes at once and starts their successors after restartTime. It
+// returns the tokens that the successors retire beyond those that were spent.
+func (f *fleetWorld) killAll() (charged int64) {
+	f.now = f.now.Add(restartTime)
+	for _, m := range f.members {
+		f.kill(m.VM)
+		fewHold(f, m.VM, f.processes[m.VM].book)
+		delete(f.retryAt, m.VM)
+		delete(f.failures, m.VM)
+		delete(f.busy, m.VM)
+	}
+	f.writes = nil
+	for i, m := range f.members {
+		witness := f.processes[f.members[(i+1)%len(f.members)].VM].id
+		f.processes[m.VM].book.SetWitness(&witness)
+	}
+	for range int(5 * time.Second / fleetStep) {
+		f.tick()
+		if f.retired() {
+			break
+		}
+	}
+	return f.account.row.Retired - f.spent
+}
+
+// retired reports whether the grants of all killed processes are retired.
+func (f *fleetWorld) retired() bool {
+	for vm, g := range f.account.row.Grants {
+		if g.Incarnation != f.processes[vm].id.Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
+// TestProofKillsOfAllChargeLittle plays the load of a mean workspace of the large deployment
+// and kills all routers 2 to 5 times, 1 to 15 s apart. It guards against successors that
+// charge their predecessors for credit which these could only have used during an outage of
+// the table: after some kills the budget would be gone though requests used little of it.
+//
+// The stated bound: each kill charges at most a twentieth of the budget beyond what was
+// spent, and never less than was spent.
+func TestProofKillsOfAllChargeLittle(t *testing.T) {
+	for _, n := range []int{5, 103} {
+		for seed := range uint64(12) {
+			f := newFleetWorld(n, seed, true, fewHold)
+			f.statementAge = 300 * time.Millisecond
+			f.tickFor(4 * time.Second)
+			kills := 2 + f.rng.IntN(4)
+			for k := 1; k <= kills; k++ {
+				f.run(1 + 14*f.rng.Float64())
+				charged := f.killAll()
+				t.Logf("%d routers, seed %d, kill %d: %.3f of the budget used, %.3f charged beyond", n, seed, k,
+					float64(f.spent)/float64(f.budget), float64(charged)/float64(f.budget))
+				if limit := int64(k) * f.budget / 20; charged < 0 || charged > limit {
+					t.Errorf("%d routers, seed %d: %d kills charge %d tokens beyond the %d spent, want 0 to %d", n, seed, k, charged, f.spent, limit)
+				}
+			}
+		}
+	}
+}
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -66,6 +66,8 @@
 // Service runs a Book against the table. It is safe for concurrent use.
 type Service struct {
 	opts Options
+	// startedAt is when the process was certainly running. The predecessor was dead by then.
+	startedAt time.Time
 
 	mu   sync.Mutex
 	book *Book
@@ -108,6 +110,7 @@
 func NewService(opts Options) *Service {
 	return &Service{
 		opts:           opts,
+		startedAt:      time.Now(),
 		book:           NewBook(opts.VM, opts.Incarnation, opts.Policy),
 		updating:       make(map[string]bool),
 		retries:        make(map[string]*retryTimer),
@@ -310,6 +313,7 @@
 // readStatement reads the statement's row: at first the predecessor's statement, and later
 // the process's own to resolve unknown outcomes.
 func (s *Service) readStatement(ctx context.Context) error {
+	sentAt := time.Now()
 	rows, err := s.opts.Table.Get(ctx, StatementKey(s.opts.VM))
 	if err != nil {
 		return err
@@ -334,13 +338,16 @@
 	if started {
 		return nil
 	}
-	recalled := s.recallLimits(ctx, last)
+	// The table reported its clock after sentAt, so diedBy is no earlier than the start of
+	// this process.
 	tableNow, _ := s.opts.Table.Now()
+	diedBy := tableNow - sentAt.Sub(s.startedAt).Milliseconds()
+	recalled := s.recallLimits(ctx, last)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Start(last, version, tableNow, recalled)
+	s.book.Start(last, version, diedBy, recalled)
 	s.opts.Logger.Info("predecessor's statement read", "incarnation", last.Incarnation, "entries", len(last.Entries),
-		"age_ms", tableNow-last.TableTimeMS, "version", version)
+		"age_ms", diedBy-last.TableTimeMS, "version", version)
 	return nil
 }
 
--- a/prepaid/service_test.go
+++ b/prepaid/service_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -187,17 +188,55 @@
 	}
 }
 
-// limitWithoutWitness returns the tokens that the stored statement allows without a
-// witness before the statement's rate sets in.
-func limitWithoutWitness(t *testing.T, table *standin.Table) int64 {
+// TestSuccessorChargesTheTimeUntilItStarted guards against a successor that charges its
+// predecessor for the time in which the successor itself waited for the table: both were
+// down during an outage of 8 s, in which the predecessor's rate would have allowed half of
+// the budget.
+func TestSuccessorChargesTheTimeUntilItStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		first, stop := startService(t, table, 1, 100_000)
+		for range 20 {
+			reserveSoon(t, first, 500)
+			first.Settle(workspace, 500, 500)
+			time.Sleep(100 * time.Millisecond)
+		}
+		stop()
+		last := storedStatement(t, table).Entries[workspace]
+		allowed := last.Base + last.Burst
+		table.SetFaults(standin.Faults{Down: true})
+		second, stop := startService(t, table, 2, 100_000)
+		defer stop()
+		time.Sleep(8 * time.Second)
+		table.SetFaults(standin.Faults{})
+		reserveSoon(t, second, 100)
+		if row, err := prepaid.DecodeRow(workspace, accountRow(t, table)); err != nil || row.Retired < 10_000 || row.Retired > allowed {
+			t.Fatalf("account %+v, error %v; want 10000 to %d tokens retired", row, err, allowed)
+		}
+	})
+}
+
+// storedStatement returns the statement of the VM's process as stored.
+func storedStatement(t *testing.T, table *standin.Table) prepaid.Statement {
 	t.Helper()
 	rows, err := table.Get(context.Background(), prepaid.StatementKey("vm"))
 	if err != nil || len(rows) != 1 {
 		t.Fatalf("%v, %v", rows, err)
 	}
 	s, err := prepaid.DecodeStatement("vm", rows[0].Value)
-	if err != nil || s.Witness == nil {
-		t.Fatalf("%+v, %v", s, err)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// limitWithoutWitness returns the tokens that the stored statement allows without a
+// witness before the statement's rate sets in.
+func limitWithoutWitness(t *testing.T, table *standin.Table) int64 {
+	t.Helper()
+	s := storedStatement(t, table)
+	if s.Witness == nil {
+		t.Fatalf("%+v", s)
 	}
 	return s.Entries[workspace].Base + s.Entries[workspace].Burst
 }
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -75,15 +75,15 @@
 }
 
 // spentBounds returns the most that the statement's holder and its predecessors may
-// have spent, by incarnation and workspace. The holder must be dead; tableNow is the time
-// of the table's clock in milliseconds.
-func (s *Statement) spentBounds(tableNow int64, recalled RecalledLimits) map[int64]map[string]int64 {
+// have spent, by incarnation and workspace. The holder was dead at diedBy, a time of the
+// table's clock in milliseconds.
+func (s *Statement) spentBounds(diedBy int64, recalled RecalledLimits) map[int64]map[string]int64 {
 	out := make(map[int64]map[string]int64)
 	if s.Incarnation == 0 {
 		return out
 	}
 	// One millisecond more covers the rounding of both times.
-	age := time.Duration(max(tableNow-s.TableTimeMS, 0)+1) * time.Millisecond
+	age := time.Duration(max(diedBy-s.TableTimeMS, 0)+1) * time.Millisecond
 	spent := make(map[string]int64, len(s.Entries))
 	for workspace := range s.Entries {
 		spent[workspace] = s.spentBound(workspace, age, recalled)
@@ -117,10 +117,9 @@
 	burstShare = 0.02
 
 	// A budget that lasts for less than lowBudgetTime at the current rate is low. One that
-	// lasts longer allows proportionally larger bursts, up to maxBurstFactor times as
-	// large.
-	lowBudgetTime  = 20 * time.Second
-	maxBurstFactor = 4
+	// lasts longer allows proportionally larger bursts, up to that of ampleBudgetTime.
+	lowBudgetTime   = 20 * time.Second
+	ampleBudgetTime = 45 * time.Second
 
 	// lowBudgetDelay and ordinaryDelay are the ages at which a statement's rate sets in:
 	// the first while the budget is low, the second otherwise. The successor of a killed
@@ -162,25 +161,24 @@
 		DelayMS: delay.Milliseconds(),
 	}
 	if b.nextWitness != nil {
-		e.addReach(a, rate)
+		e.addReach(a, rate, max(delay, reachDelay))
 	}
 	return e
 }
 
 // burstFactor returns the factor by which a burst may exceed that of a low budget.
 func (b *Book) burstFactor(now time.Time, a *account) float64 {
-	return min(max(b.timeToExhaustion(now, a).Seconds()/lowBudgetTime.Seconds(), 1), maxBurstFactor)
+	return max(b.timeToExhaustion(now, a).Seconds()/lowBudgetTime.Seconds(), 1)
 }
 
 // timeToExhaustion returns how long the budget lasts at the current rate, at most
-// maxBurstFactor times lowBudgetTime.
+// ampleBudgetTime.
 func (b *Book) timeToExhaustion(now time.Time, a *account) time.Duration {
-	longest := maxBurstFactor * lowBudgetTime
 	rate := a.rate(now) / b.spendingShare(a)
 	if rate <= 0 {
-		return longest
+		return ampleBudgetTime
 	}
-	seconds := min(float64(b.remaining(a))/rate, longest.Seconds())
+	seconds := min(float64(b.remaining(a))/rate, ampleBudgetTime.Seconds())
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -237,15 +235,16 @@
 }
 
 // Start takes over from the VM's predecessor process: last is its statement (the zero
-// Statement if there is none) at the given row version, tableNow the table's clock in
-// milliseconds when it was read, and recalled the answer of its witness. A statement of
-// the process itself is ignored. Before Start no grant and no statement is due.
-func (b *Book) Start(last Statement, version uint64, tableNow int64, recalled RecalledLimits) {
+// Statement if there is none) at the given row version, diedBy a time of the table's
+// clock, in milliseconds, at which the predecessor was dead, and recalled the answer of its
+// witness. A statement of the process itself is ignored. Before Start no grant and no
+// statement is due.
+func (b *Book) Start(last Statement, version uint64, diedBy int64, recalled RecalledLimits) {
 	if last.Incarnation == b.incarnation {
 		return
 	}
 	b.started = true
-	b.predecessorSpent = last.spentBounds(tableNow, recalled)
+	b.predecessorSpent = last.spentBounds(diedBy, recalled)
 	b.activatePredecessors()
 	b.statementVersion = version
 }
--- a/prepaid/witness.go
+++ b/prepaid/witness.go
@@ -34,6 +34,11 @@
 	reachHorizon  = 2 * time.Second
 	reachRequests = 2
 
+	// reachDelay is the least age at which the witness may acknowledge the reach. It exceeds
+	// the age of a last statement at which the successor of a killed process starts, which is
+	// then charged for the burst alone.
+	reachDelay = 1900 * time.Millisecond
+
 	// reachFactor is the multiple of the statement's rate at which the reach grows after
 	// the reach delay. Requests come in bursts, and a router gets more of them while others
 	// are unavailable.
@@ -81,8 +86,8 @@
 
 // addReach sets the reach of an entry whose statement has a witness, and delays the rate
 // that applies without the witness.
-func (e *Entry) addReach(a *account, rate float64) {
-	e.ReachDelayMS = e.DelayMS
+func (e *Entry) addReach(a *account, rate float64, delay time.Duration) {
+	e.ReachDelayMS = delay.Milliseconds()
 	e.DelayMS = unwitnessedDelay.Milliseconds()
 	e.Reach = int64(rate*reachHorizon.Seconds() + reachRequests*a.largestReservation)
 	e.ReachRate = int64(reachFactor * rate)
--- a/prepaid/world_test.go
+++ b/prepaid/world_test.go
@@ -39,9 +39,11 @@
 
 // process is one router and its in-flight requests.
 type process struct {
-	book     *prepaid.Book
-	id       prepaid.ProcessID
-	inFlight []int64
+	book *prepaid.Book
+	id   prepaid.ProcessID
+	// startedAt is the table's clock when the process started, in milliseconds.
+	startedAt int64
+	inFlight  []int64
 	// paused is the time that the process's steady clock did not count.
 	paused time.Duration
 }
@@ -89,7 +91,7 @@
 // start starts a new process on a VM.
 func (w *world) start(vm string) {
 	w.count++
-	p := &process{book: prepaid.NewBook(vm, w.count, w.policy), id: prepaid.ProcessID{VM: vm, Incarnation: w.count}}
+	p := &process{book: prepaid.NewBook(vm, w.count, w.policy), id: prepaid.ProcessID{VM: vm, Incarnation: w.count}, startedAt: w.tableNow()}
 	w.witnesses[p.id] = prepaid.NewAnnouncements()
 	p.book.SetBudgets(map[string]int64{workspace: w.budget})
 	w.processes[vm] = p
@@ -141,7 +143,7 @@
 		if rapid.IntRange(0, 3).Draw(t, "recall") > 0 {
 			recalled = w.recall(stored.statement, vm)
 		}
-		p.book.Start(stored.statement, stored.version, w.tableNow(), recalled)
+		p.book.Start(stored.statement, stored.version, p.startedAt, recalled)
 	case p.book.StatementUnresolved():
 		p.book.ResolveStatements(stored.statement, stored.version)
 	}
