prepaid: log what a predecessor's statement says and what it is charged

Cause: the charge of a kill could only be guessed from later grant writes. Change: the line 'predecessor's statement read' has stated_tokens and charged_tokens, summed over the workspaces.

--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -346,8 +346,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.book.Start(last, version, diedBy, recalled)
+	base, atMost := last.charged(s.book.predecessorSpent)
 	s.opts.Logger.Info("predecessor's statement read", "incarnation", last.Incarnation, "entries", len(last.Entries),
-		"age_ms", diedBy-last.TableTimeMS, "version", version)
+		"age_ms", diedBy-last.TableTimeMS, "version", version, "stated_tokens", base, "charged_tokens", atMost)
 	return nil
 }
 
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -93,6 +93,17 @@
 	return out
 }
 
+// charged returns the tokens that the statement's holder had spent and reserved when it
+// made the statement, and the most that it may have spent until it died, over all
+// workspaces.
+func (s *Statement) charged(bounds map[int64]map[string]int64) (base, atMost int64) {
+	for workspace, bound := range bounds[s.Incarnation] {
+		base += s.Entries[workspace].Base
+		atMost += bound
+	}
+	return base, atMost
+}
+
 // issuedStatement is a statement that was committed, or may have been.
 type issuedStatement struct {
 	statement Statement
