prepaid: an idle holder's statement allows no more the older it gets

The rate and reach of such a statement add up over all of its age; a grant that was never used had the rate of a new account for ever. gono104 ended with 20% of its budget charged beyond what requests had used.

Ruled out: restarts (1.5 s) and the time until the statement is read, which no longer counts.

Change: a statement is also renewed when a successor that starts 1.5 s later would charge more than half a percent of the budget beyond the bursts; the rate of a new account ends after 10 s (the burst stays). The reach's first part covers 1 s and one request, from an age of 1.8 s on, as statements are younger now; bursts grow up to those of a budget that lasts 40 s.

Ruled out by trials (kills, outage and fleet tests): delays of 1.7, 1.85, 1.9, 1.95 and 2.2 s with the other constants; each fails the stated bound of a kill or one of the outage tests.

Measured: TestProofAKillOfAnIdleFleetChargesLittle: 1,883,573 of 5,525,000 tokens charged before, 276,250 allowed; passes after.

--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -72,10 +72,6 @@
 	partFree time.Time
 	retryAt  map[string]time.Time
 	failures map[string]int
-	// statementAge is the age at which a router writes its next statement though it spent
-	// nothing of this account, 0 for never. The statement covers other workspaces too.
-	statementAge time.Duration
-	statedAt     map[string]time.Time
 	// busy are the routers that have a write on its way.
 	busy   map[string]bool
 	result fleetResult
@@ -86,7 +82,7 @@
 	f := &fleetWorld{
 		world: newWorld(int64(1.3 * fleetLoadSeconds * fleetRequestsPerSecond * fleetMeanTokens)),
 		rng:   rand.New(rand.NewPCG(seed, 1)), members: members(n, 5), viaHolders: viaHolders,
-		retryAt: make(map[string]time.Time), failures: make(map[string]int), statedAt: make(map[string]time.Time), busy: make(map[string]bool),
+		retryAt: make(map[string]time.Time), failures: make(map[string]int), busy: make(map[string]bool),
 	}
 	f.fleet = prepaid.NewFleet(f.members)
 	f.processes = make(map[string]*process)
@@ -129,12 +125,10 @@
 	for _, m := range f.members {
 		p, stored := f.processes[m.VM], f.statements[m.VM]
 		f.startBook(m.VM)
-		due := f.statementAge > 0 && f.now.Sub(f.statedAt[m.VM]) >= f.statementAge
-		if due || p.book.StatementDue(f.now) {
+		if p.book.StatementDue(f.now) {
 			s, version := p.book.NextStatement(f.now, f.tableNow())
 			stored.commit(&f.version, rowWrite{version: version, statement: s})
 			p.book.StatementCommitted(s.Sequence, stored.version)
-			f.statedAt[m.VM] = f.now
 		}
 		if f.busy[m.VM] || f.now.Before(f.retryAt[m.VM]) || len(p.book.AccountsDue(f.now)) == 0 {
 			continue
--- a/prepaid/kills_test.go
+++ b/prepaid/kills_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// restartTime is how long a killed process is down on the deployments.
+// restartTime is how long a killed process is down on the large deployment.
 const restartTime = 1500 * time.Millisecond
 
 // killAll kills all processes at once and starts their successors after restartTime. It
@@ -54,7 +54,6 @@
 	for _, n := range []int{5, 103} {
 		for seed := range uint64(12) {
 			f := newFleetWorld(n, seed, true, fewHold)
-			f.statementAge = 300 * time.Millisecond
 			f.tickFor(4 * time.Second)
 			kills := 2 + f.rng.IntN(4)
 			for k := 1; k <= kills; k++ {
@@ -69,3 +68,20 @@
 		}
 	}
 }
+
+// TestProofAKillOfAnIdleFleetChargesLittle guards against statements that allow ever more the
+// longer nothing is spent. The first fleet never spends, the second one spends for 15 s and
+// is idle then. The stated bound is that of a kill under load.
+func TestProofAKillOfAnIdleFleetChargesLittle(t *testing.T) {
+	for _, n := range []int{5, 103} {
+		for _, load := range []float64{0, 15} {
+			f := newFleetWorld(n, 1, true, fewHold)
+			f.tickFor(4 * time.Second)
+			f.run(load)
+			f.tickFor(30 * time.Second)
+			if charged, limit := f.killAll(), f.budget/20; charged < 0 || charged > limit {
+				t.Errorf("%d routers, idle after %v s of load: a kill charges %d tokens beyond the %d spent, want 0 to %d", n, load, charged, f.spent, limit)
+			}
+		}
+	}
+}
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -130,7 +130,7 @@
 	// A budget that lasts for less than lowBudgetTime at the current rate is low. One that
 	// lasts longer allows proportionally larger bursts, up to that of ampleBudgetTime.
 	lowBudgetTime   = 20 * time.Second
-	ampleBudgetTime = 45 * time.Second
+	ampleBudgetTime = 40 * time.Second
 
 	// lowBudgetDelay and ordinaryDelay are the ages at which a statement's rate sets in:
 	// the first while the budget is low, the second otherwise. The successor of a killed
@@ -152,17 +152,30 @@
 	// coldRateShare is the share of a budget that may be spent each second while the
 	// workspace's rate isn't known. It uses up a day's budget in some minutes.
 	coldRateShare = 0.004
+
+	// restartTime is how long a killed process is down: 0.5 to 1.5 s on the deployments.
+	restartTime = 1500 * time.Millisecond
+
+	// maxAccruedShare is the part of a budget that the statements of all holders may allow
+	// beyond their bursts once a killed process has restarted. A statement that allows more
+	// is renewed although nothing was spent.
+	maxAccruedShare = 0.005
 )
 
 // newEntry returns the bounds of a workspace for the next statement.
 func (b *Book) newEntry(now time.Time, a *account) Entry {
 	a.decay(now)
 	rate := rateHeadroom * a.longRate
+	burstRate := max(rate, a.rate(now))
 	if !a.warm {
-		rate = max(rate, coldRateShare*float64(a.budget))
+		coldRate := coldRateShare * float64(a.budget)
+		burstRate = max(burstRate, coldRate)
+		if now.Sub(a.firstReadAt) < longWindow {
+			rate = max(rate, coldRate)
+		}
 	}
 	maxBurst := burstShare * float64(a.budget) * b.spendingShare(a) * b.burstFactor(now, a)
-	burst := max(min(max(rate, a.rate(now))*burstTime.Seconds(), maxBurst), float64(a.unmet))
+	burst := max(min(burstRate*burstTime.Seconds(), maxBurst), float64(a.unmet))
 	delay := ordinaryDelay
 	if b.timeToExhaustion(now, a) < lowBudgetTime {
 		delay = lowBudgetDelay
@@ -214,14 +227,15 @@
 	if b.confirmed == nil || len(b.pending) > 0 || b.witnessChanged() {
 		return true
 	}
-	recent := now.Sub(b.confirmed.madeAt) < b.statementInterval()
+	age := now.Sub(b.confirmed.madeAt)
+	recent := age < b.statementInterval()
 	for workspace, a := range b.active {
 		if a.amount == 0 {
 			continue
 		}
 		e := b.confirmed.statement.Entries[workspace]
 		used := a.spent + a.reserved
-		if !recent && used != e.Base {
+		if !recent && (used != e.Base || b.accrued(a, e, age) > maxAccruedShare*b.spendingShare(a)*float64(a.budget)) {
 			return true
 		}
 		left := b.statementLimit(now, workspace) - used
@@ -235,6 +249,16 @@
 	return false
 }
 
+// accrued returns the tokens that a successor would charge beyond the entry's burst if the
+// process were killed at the given age of its statement and its witness didn't answer.
+func (b *Book) accrued(a *account, e Entry, age time.Duration) float64 {
+	atRestart := e.limit(age + restartTime)
+	if b.Witness() != nil {
+		atRestart = max(atRestart, e.reachLimit(age+restartTime))
+	}
+	return float64(min(atRestart, a.amount) - e.Base - e.Burst)
+}
+
 // statementInterval returns the least time between two statements whose only purpose is
 // to report spending.
 func (b *Book) statementInterval() time.Duration {
--- a/prepaid/witness.go
+++ b/prepaid/witness.go
@@ -30,14 +30,13 @@
 const (
 	// The reach is what the witness may acknowledge at once after the reach delay. It
 	// covers reachHorizon of spending at the statement's rate, as requests may have waited
-	// for the delay, and reachRequests requests of the largest size.
-	reachHorizon  = 2 * time.Second
-	reachRequests = 2
+	// for the delay, and one request of the largest size.
+	reachHorizon = time.Second
 
 	// reachDelay is the least age at which the witness may acknowledge the reach. It exceeds
 	// the age of a last statement at which the successor of a killed process starts, which is
 	// then charged for the burst alone.
-	reachDelay = 1900 * time.Millisecond
+	reachDelay = 1800 * time.Millisecond
 
 	// reachFactor is the multiple of the statement's rate at which the reach grows after
 	// the reach delay. Requests come in bursts, and a router gets more of them while others
@@ -89,7 +88,7 @@
 func (e *Entry) addReach(a *account, rate float64, delay time.Duration) {
 	e.ReachDelayMS = delay.Milliseconds()
 	e.DelayMS = unwitnessedDelay.Milliseconds()
-	e.Reach = int64(rate*reachHorizon.Seconds() + reachRequests*a.largestReservation)
+	e.Reach = int64(rate*reachHorizon.Seconds() + a.largestReservation)
 	e.ReachRate = int64(reachFactor * rate)
 }
 
