--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -200,13 +200,15 @@
 func (a *attempt) readBody(resp *http.Response) {
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(data) > maxResponseBytes {
-		err = &ResponseError{Problem: "response body exceeds the size limit"}
-	}
 	if err != nil {
 		a.outcome, a.crashed = outcomeBroken, true
 		a.err = errors.WithStack(&ResponseError{Problem: "failed to read the response body", Cause: err})
 		return
 	}
+	if len(data) > maxResponseBytes {
+		a.outcome = outcomeBroken
+		a.err = errors.WithStack(&ResponseError{Problem: "response body exceeds the size limit"})
+		return
+	}
 	a.body = data
 }
--- a/direct/router.go
+++ b/direct/router.go
@@ -155,17 +155,9 @@
 // it waits for the in-flight requests as long as the shutdown grace allows. In both
 // cases it then stops all tasks and returns the grants.
 func (r *Router) Run(ctx context.Context) error {
-	callerListener, err := net.Listen("tcp", r.opts.Settings.CallerAddress)
+	callerListener, readinessListener, peerListener, err := r.listen()
 	if err != nil {
-		return errors.WithStack(err)
-	}
-	readinessListener, err := net.Listen("tcp", r.opts.Settings.ReadinessAddress)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	peerListener, err := r.opts.Network.Listen(r.opts.Settings.PeerAddress)
-	if err != nil {
-		return errors.WithStack(err)
+		return err
 	}
 	callerServer := &http.Server{
 		Handler: r, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
@@ -200,6 +192,25 @@
 	return err
 }
 
+// listen opens the listeners for callers, for the readiness probe and for peers. If one
+// fails, it closes the others.
+func (r *Router) listen() (callers, readiness, peers net.Listener, err error) {
+	settings := r.opts.Settings
+	if callers, err = net.Listen("tcp", settings.CallerAddress); err != nil {
+		return nil, nil, nil, errors.WithStack(err)
+	}
+	if readiness, err = net.Listen("tcp", settings.ReadinessAddress); err != nil {
+		_ = callers.Close()
+		return nil, nil, nil, errors.WithStack(err)
+	}
+	if peers, err = r.opts.Network.Listen(settings.PeerAddress); err != nil {
+		_ = callers.Close()
+		_ = readiness.Close()
+		return nil, nil, nil, errors.WithStack(err)
+	}
+	return callers, readiness, peers, nil
+}
+
 // assignAccounts keeps this router's parts of what the fleet shares up to date until ctx
 // ends: the accounts that it holds and its retry budgets. For the accounts it waits until
 // the fleet has not changed for a while, as routers that start together come to know each
--- a/prepaid/announcements.go
+++ b/prepaid/announcements.go
@@ -13,15 +13,22 @@
 // Announcements holds the limits that were announced to a process as a witness. It is
 // safe for concurrent use.
 type Announcements struct {
-	mu     sync.Mutex
-	limits map[ProcessID]map[string]int64
+	mu      sync.Mutex
+	holders map[ProcessID]*announced
 	// dropped is set once limits were discarded.
 	dropped bool
 }
 
+// announced holds the limits of one holder.
+type announced struct {
+	limits map[string]int64
+	// partial is set if earlier limits of the holder may have been discarded.
+	partial bool
+}
+
 // NewAnnouncements returns an empty Announcements.
 func NewAnnouncements() *Announcements {
-	return &Announcements{limits: make(map[ProcessID]map[string]int64)}
+	return &Announcements{holders: make(map[ProcessID]*announced)}
 }
 
 // Record records limits of a holder, in tokens spent by workspace. A limit never falls.
@@ -29,16 +36,16 @@
 func (a *Announcements) Record(holder ProcessID, limits map[string]int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	known := a.limits[holder]
+	known := a.holders[holder]
 	if known == nil {
-		if len(a.limits) >= maxHolders {
-			a.limits, a.dropped = make(map[ProcessID]map[string]int64), true
+		known = &announced{limits: make(map[string]int64), partial: a.dropped}
+		if len(a.holders) >= maxHolders {
+			a.holders, a.dropped = make(map[ProcessID]*announced), true
 		}
-		known = make(map[string]int64)
-		a.limits[holder] = known
+		a.holders[holder] = known
 	}
 	for workspace, limit := range limits {
-		known[workspace] = max(known[workspace], limit)
+		known.limits[workspace] = max(known.limits[workspace], limit)
 	}
 }
 
@@ -47,6 +54,9 @@
 func (a *Announcements) Recall(holder ProcessID) RecalledLimits {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	known, ok := a.limits[holder]
-	return RecalledLimits{Known: ok || !a.dropped, Limits: maps.Clone(known)}
+	known := a.holders[holder]
+	if known == nil {
+		return RecalledLimits{Known: !a.dropped}
+	}
+	return RecalledLimits{Known: !known.partial, Limits: maps.Clone(known.limits)}
 }
--- a/prepaid/witness_test.go
+++ b/prepaid/witness_test.go
@@ -161,3 +161,18 @@
 		t.Fatal("the answer is incomplete for the newest holder")
 	}
 }
+
+// TestLimitsAfterADiscardAreNotKnown guards against taking the latest limits of a holder for
+// all of its limits when earlier ones were discarded.
+func TestLimitsAfterADiscardAreNotKnown(t *testing.T) {
+	announcements := prepaid.NewAnnouncements()
+	holder := prepaid.ProcessID{VM: "a", Incarnation: 1}
+	announcements.Record(holder, map[string]int64{"v": 100})
+	for i := range 1024 {
+		announcements.Record(prepaid.ProcessID{VM: "b", Incarnation: int64(i)}, map[string]int64{"w": 1})
+	}
+	announcements.Record(holder, map[string]int64{"w": 7})
+	if got := announcements.Recall(holder); got.Known {
+		t.Fatalf("limits %+v are taken as complete, but that of v was discarded", got)
+	}
+}
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -166,7 +166,7 @@
 	p.services = make(map[string][]*target)
 	for _, e := range endpoints {
 		t := p.targets[e.ID]
-		if t == nil || t.endpoint.Incarnation != e.Incarnation || t.endpoint.Address != e.Address {
+		if t == nil || !sameProcess(t.endpoint, e) {
 			t = &target{hash: rendezvous.Hash(e.ID), cachedParts: make(map[uint64]time.Time)}
 		}
 		t.endpoint = e
@@ -350,15 +350,20 @@
 }
 
 // currentTarget returns the target of a choice, or nil if the endpoint is no
-// longer listed or has restarted since.
+// longer listed, or has restarted or moved since.
 func (p *PromptPicker) currentTarget(choice PromptChoice) *target {
 	t := p.targets[choice.Endpoint.ID]
-	if t == nil || t.endpoint.Incarnation != choice.Endpoint.Incarnation {
+	if t == nil || !sameProcess(t.endpoint, choice.Endpoint) {
 		return nil
 	}
 	return t
 }
 
+// sameProcess reports whether two entries of an endpoint are of the same process.
+func sameProcess(a, b PromptEndpoint) bool {
+	return a.Incarnation == b.Incarnation && a.Address == b.Address
+}
+
 // RecordLoad records the load that an endpoint reported with a response: the running
 // and waiting requests of all routers.
 func (p *PromptPicker) RecordLoad(now time.Time, id string, load int) {
--- a/routing/prompt_test.go
+++ b/routing/prompt_test.go
@@ -127,6 +127,21 @@
 	}
 }
 
+// TestEndOfARequestBeforeTheEndpointMoved guards against the end of a request at an
+// endpoint's old address that lowers the load of the process at the new one.
+func TestEndOfARequestBeforeTheEndpointMoved(t *testing.T) {
+	p := newPromptPicker(1)
+	before, _ := p.Pick(start, chatQuery(1, 1))
+	p.Started(start, before)
+	p.SetEndpoints([]routing.PromptEndpoint{{ID: "e000", Service: "s", Address: "moved"}})
+	after, _ := p.Pick(start, chatQuery(1, 2))
+	p.Started(start, after)
+	p.Ended(before, false)
+	if status := p.Status()[0]; status.InFlight != 1 || status.UnreadTokens != after.UnreadTokens {
+		t.Fatalf("got %+v after the end of the old request, want one request of %d unread tokens", status, after.UnreadTokens)
+	}
+}
+
 // BenchmarkPickPrompt measures one choice by the number of endpoints.
 func BenchmarkPickPrompt(b *testing.B) {
 	for _, n := range []int{15, 150, 1500} {
--- a/secure/network.go
+++ b/secure/network.go
@@ -9,12 +9,19 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"jackdawswitch/rpc"
+	"jackdawswitch/storage"
 )
 
 const (
 	handshakeTimeout     = 5 * time.Second
 	maxPendingHandshakes = 256
+
+	// minAcceptDelay and maxAcceptDelay bound the delay after an error of Accept.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
 )
 
 // Network wraps another network in mutual TLS. Both ends present a certificate
@@ -140,16 +147,21 @@
 	acceptErr    error
 }
 
-// acceptLoop starts a handshake for each connection until Accept of the inner
-// listener fails.
+// acceptLoop starts a handshake for each connection until the inner listener is closed.
+// Any other error of Accept, as for lack of descriptors, is retried.
 func (l *listener) acceptLoop() {
+	retry := storage.NewBackOff(minAcceptDelay, maxAcceptDelay)
 	for {
 		conn, err := l.Listener.Accept()
+		if err != nil && !errors.Is(err, net.ErrClosed) && l.sleep(retry.NextBackOff()) {
+			continue
+		}
 		if err != nil {
 			l.acceptErr = err
 			close(l.acceptFailed)
 			return
 		}
+		retry.Reset()
 		select {
 		case l.pending <- struct{}{}:
 			go l.handshake(conn)
@@ -159,6 +171,16 @@
 	}
 }
 
+// sleep waits for d and reports whether the listener is still open.
+func (l *listener) sleep(d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
 func (l *listener) handshake(conn net.Conn) {
 	defer func() { <-l.pending }()
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
--- a/secure/network_test.go
+++ b/secure/network_test.go
@@ -12,12 +12,14 @@
 	"net"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"jackdawswitch/rpc"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/settings"
 )
@@ -129,6 +131,44 @@
 	}()
 }
 
+// failingNetwork is a network whose listeners fail their first calls of Accept.
+type failingNetwork struct {
+	rpc.Network
+	failures int
+}
+
+func (n failingNetwork) Listen(address string) (net.Listener, error) {
+	inner, err := n.Network.Listen(address)
+	return &failingListener{Listener: inner, failures: n.failures}, err
+}
+
+type failingListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "test", Err: syscall.EMFILE}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptIsRetried guards against a process that accepts no connections any more after
+// it had no file descriptor left for a moment.
+func TestAcceptIsRetried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAuthority(t, t.TempDir())
+		network := memnet.New()
+		echo(t, NewNetwork(failingNetwork{network.Host("server"), 3}, load(t, a.issue(t, "server", 1))), "server")
+		client := NewNetwork(network.Host("client"), load(t, a.issue(t, "client", 2)))
+		if _, err := call(t.Context(), client, "server"); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // call sends a byte and returns the serial number of the server's certificate.
 func call(ctx context.Context, network *Network, address string) (int64, error) {
 	conn, err := network.Dial(ctx, address)
