admission: refuse a request whose deadline has passed also with free capacity

Cause: Offer checked the deadline only of requests that it queues; with free capacity it started one whose deadline had passed. Ruled out: waiting requests, which RemoveExpired ends. Change: the check comes first in Offer. Measured: TestRequestWhoseDeadlineHasPassedIsRefused fails with one slot before, passes after.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -190,6 +190,9 @@
 	_, waits := q.waiting[req.ID]
 	_, runs := q.running[req.ID]
 	invariant.Assert(!waits && !runs, "admission-id-is-new", "id", req.ID)
+	if !now.Before(req.Deadline) {
+		return OfferResult{Decision: Refused, Refusal: refusal.NotRun(refusal.CauseDeadlineExceeded, "the deadline has passed")}
+	}
 	ws := q.workspace(now, req.Workspace)
 	if err := ws.checkRateLimits(now, req); err != nil {
 		return OfferResult{Decision: Refused, Refusal: err}
@@ -214,14 +217,11 @@
 	return OfferResult{Decision: Queued, Wait: wait}
 }
 
-// checkQueueable returns a refusal if the request's deadline has passed, if the
-// queue is full, or if the request can't start by its deadline even when the
-// requests ahead of it are served faster than estimated. Otherwise it returns nil.
+// checkQueueable returns a refusal if the queue is full, or if the request can't start
+// by its deadline even when the requests ahead of it are served faster than estimated.
+// Otherwise it returns nil.
 func (q *Queue) checkQueueable(now time.Time, it *item, wait time.Duration) *refusal.Error {
 	remaining := it.req.Deadline.Sub(now)
-	if remaining <= 0 {
-		return refusal.NotRun(refusal.CauseDeadlineExceeded, "the deadline has passed")
-	}
 	if len(q.waiting) >= q.opts.MaxQueued {
 		err := refusal.NotRun(refusal.CauseOverloaded, "%d requests wait", len(q.waiting))
 		return err.WithRetryAfter(max(wait, minRetryAfter))
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// TestRequestWhoseDeadlineHasPassedIsRefused guards against starting such a request when
+// there is free capacity.
+func TestRequestWhoseDeadlineHasPassedIsRefused(t *testing.T) {
+	for slots := range 2 {
+		q := admission.New(admission.Options{})
+		q.SetCapacity(admission.PoolID{Service: "s"}, admission.Capacity{Slots: slots})
+		r := request("a", "w", 0)
+		if d := q.Offer(r.Deadline, r); d.Decision != admission.Refused || d.Refusal.Cause != refusal.CauseDeadlineExceeded {
+			t.Errorf("%d slots: got %+v, want a refusal with cause deadline_exceeded", slots, d)
+		}
+	}
+}
+
 // A retry-after delay that is too short makes a caller that honours it get refused
 // again and again.
 func TestRateLimitRefusalHasUsableRetryAfter(t *testing.T) {
