prepaid: an unused account allows its cold burst in full

Change: while nothing was spent from an account, its holders together allow up to 5% of the budget, each at most the cold burst of 1%.

--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -127,6 +127,10 @@
 	// so it must stay below the 3% of a budget that need not be usable.
 	burstShare = 0.02
 
+	// unusedBurstShare is the largest part of a budget that the bursts of all holders
+	// together allow while nothing was spent.
+	unusedBurstShare = 0.05
+
 	// A budget that lasts for less than lowBudgetTime at the current rate is low. One that
 	// lasts longer allows proportionally larger bursts, up to that of ampleBudgetTime.
 	lowBudgetTime   = 20 * time.Second
@@ -175,6 +179,10 @@
 		}
 	}
 	maxBurst := burstShare * float64(a.budget) * b.spendingShare(a) * b.burstFactor(now, a)
+	if a.largestReservation == 0 {
+		// Nothing was ever spent here, so the cold rate is all that is known.
+		maxBurst = max(maxBurst, unusedBurstShare*float64(a.budget)/float64(max(b.holders, 1)))
+	}
 	burst := max(min(burstRate*burstTime.Seconds(), maxBurst), float64(a.unmet))
 	delay := ordinaryDelay
 	if b.timeToExhaustion(now, a) < lowBudgetTime {
