--- a/prepaid/kills_test.go
+++ b/prepaid/kills_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"jackdawswitch/prepaid"
 )
 
 // restartTime is how long a killed process is down on the large deployment.
@@ -85,3 +87,35 @@
 		}
 	}
 }
+
+// TestRenewalsOfIdleStatementsStayWithinTheTablesRate guards against a fleet that goes on
+// writing statements while nothing is spent. All routers spend for 15 s and are idle then:
+// together they write at most 500 statements a second, and none after a minute.
+func TestRenewalsOfIdleStatementsStayWithinTheTablesRate(t *testing.T) {
+	const budget = 10_000_000
+	for _, routers := range []int{5, 103, 360} {
+		now := time.Unix(1_000_000, 0)
+		b := prepaid.NewBook("a", 1, prepaid.DefaultPolicy())
+		b.SetBudgets(map[string]int64{workspace: budget})
+		b.SetAssigned([]string{workspace}, 5, routers)
+		b.Start(prepaid.Statement{}, 0, now.UnixMilli(), prepaid.RecalledLimits{})
+		b.SetWitness(&prepaid.ProcessID{VM: "b", Incarnation: 1})
+		b.WriteCommitted(now, b.PlanUpdate(now, workspace, prepaid.Row{}, 0), 1)
+		var statements [8]int
+		for i := range 75 * 100 {
+			now = now.Add(10 * time.Millisecond)
+			if i < 15*100 && b.Reserve(now, workspace, 500) == prepaid.Reserved {
+				b.Settle(workspace, 500, 500)
+			}
+			if b.StatementDue(now) {
+				s, version := b.NextStatement(now, now.UnixMilli())
+				b.StatementCommitted(s.Sequence, version+1)
+				statements[i/1000]++
+			}
+		}
+		t.Logf("%d routers: a router's statements in each 10 s: %v", routers, statements)
+		if most := statements[2] * routers / 10; most > 500 || statements[7] > 0 {
+			t.Errorf("%d routers write %d statements a second while idle, and %v in each 10 s", routers, most, statements)
+		}
+	}
+}
