--- a/direct/quarantine.go
+++ b/direct/quarantine.go
@@ -5,6 +5,7 @@
 
 	"jackdawswitch/claim"
 	"jackdawswitch/refusal"
+	"jackdawswitch/routing"
 )
 
 // quarantine stops requests that crash endpoints from running again, on every router
@@ -62,5 +63,25 @@
 	if !answered {
 		entry.Endpoint = a.choice.Endpoint.ID
 	}
-	return q.record(entry)
+	decision := q.record(entry)
+	if !answered {
+		x.router.logger.Info("crash recorded", "request", x.meta.ID, "fingerprint", entry.Request, "endpoint", entry.Endpoint,
+			"answer_begun", a.promptProcessed, "parts", loggedParts(x.meta.Parts), "crashes", decision.CrashCount, "at_ms", entry.AtMS)
+	}
+	return decision
 }
+
+// maxLoggedParts bounds the prompt parts in one log line.
+const maxLoggedParts = 8
+
+// loggedParts returns the IDs of the first prompt parts that requests can share.
+func loggedParts(parts []routing.PromptPart) []string {
+	out := make([]string, 0, maxLoggedParts)
+	for _, part := range parts[:min(max(len(parts)-1, 0), maxLoggedParts)] {
+		out = append(out, part.ID[:min(len(part.ID), maxLoggedPartBytes)])
+	}
+	return out
+}
+
+// maxLoggedPartBytes bounds one prompt part in a log line.
+const maxLoggedPartBytes = 32
