--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -18,6 +18,7 @@
 	"jackdawswitch/catalog"
 	"jackdawswitch/config"
 	"jackdawswitch/refusal"
+	"jackdawswitch/routing"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/secure"
 	"jackdawswitch/standin"
@@ -36,9 +37,19 @@
 	return RequestMeta{
 		ID: h.Get("T-Id"), Key: h.Get("T-Key"), PromptTokens: prompt, MaxOutputTokens: output,
 		Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last-Event-Id"),
+		Parts: testParts(h.Get("T-Parts")),
 	}, nil
 }
 
+// testParts returns the parts of a prompt of which a header lists the IDs.
+func testParts(header string) []routing.PromptPart {
+	var out []routing.PromptPart
+	for _, id := range strings.FieldsFunc(header, func(r rune) bool { return r == ',' }) {
+		out = append(out, routing.PromptPart{ID: id, Tokens: 1})
+	}
+	return out
+}
+
 func (testProtocol) EndpointHeaders(in http.Header, d DispatchMeta) http.Header {
 	out := in.Clone()
 	out.Del("T-Key")
