quarantine: prompt parts that crash endpoints are stopped on every router

What callers saw: requests with one part in their prompts, no two alike, crashed endpoint after endpoint for as long as they came; each crash broke all other requests there.

Cause: a request that crashes endpoints was known by workspace, URI and body only, so that what several different requests share was never counted. Class: evidence is kept under an identity narrower than what causes the failure.

Change: package quarantine (pure) judges prompt parts. Suspects of a crash are the parts of the requests whose answer had not begun; an answer that begins clears them. Three crashes without an answer quarantine a part (four, if an answer was known before), unless parts that are more suspicious explain the crashes. Parts that always came together are refused only together, so that sound requests with one of them pass and clear it. A broken attempt counts only if a connection to the endpoint is then refused: a lost answer leaves the port open. Routers share crashes and the answers that matter in their records. After 30 s, doubling with each further crash, one router at a time lets one request pass, so that a part that was mended is released before its ten minutes end. Suspects, crashes, answers, groups, probes and the record are bounded.

Why it works: the cause is in each crash and in no answer, and no other part is.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -100,6 +100,9 @@
 	// promptProcessed is set once the picker has been notified that the endpoint has
 	// processed the prompt. It is only set for streams, at their first event.
 	promptProcessed bool
+	// answerBegun is set at the first data of a stream, or the whole response of a route
+	// without streams.
+	answerBegun bool
 	// timer bounds the time of the parts of the response. unfinished is set when the
 	// deadline of the request passed while a part was incomplete.
 	timer      *partTimer
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -36,6 +36,10 @@
 	// needed.
 	cachedFingerprint string
 
+	// cachedPartKeys are the keys of the prompt parts that the request shares with others,
+	// nil until they are first needed.
+	cachedPartKeys []string
+
 	progress progress
 	// deliveredAttempts counts the failed attempts that reached an endpoint, including
 	// those for which it confirmed that it did not run the request.
@@ -92,6 +96,7 @@
 		x.router.recordAttempt(choice, a)
 		x.logAttempt(a)
 		x.quarantined = x.recordCrash(a).Quarantined()
+		x.recordParts(a)
 		if done, err := x.afterAttempt(ctx, a); done {
 			return err
 		}
@@ -129,7 +134,7 @@
 	if ctx.Err() != nil {
 		return true, x.giveUp(x.failureRefusal())
 	}
-	if !x.progress.maySend() || !x.maySendAgain(a) {
+	if !x.progress.maySend() || x.checkParts() != nil || !x.maySendAgain(a) {
 		return true, x.giveUp(x.failureRefusal())
 	}
 	return false, nil
--- a/direct/quarantine.go
+++ b/direct/quarantine.go
@@ -8,9 +8,9 @@
 	"jackdawswitch/routing"
 )
 
-// quarantine stops requests that crash endpoints from running again, on every router
+// requestQuarantine stops requests that crash endpoints from running again, on every router
 // of the fleet.
-type quarantine struct {
+type requestQuarantine struct {
 	*crashTracker
 	router *Router
 }
@@ -18,7 +18,7 @@
 // tableNowMS returns the table service's time in Unix milliseconds. It is known
 // whenever a request is served, because the configuration comes from the table
 // service.
-func (q *quarantine) tableNowMS() int64 {
+func (q *requestQuarantine) tableNowMS() int64 {
 	ms, _ := q.router.opts.Table.Now()
 	return ms
 }
@@ -66,7 +66,7 @@
 	decision := q.record(entry)
 	if !answered {
 		x.router.logger.Info("crash recorded", "request", x.meta.ID, "fingerprint", entry.Request, "endpoint", entry.Endpoint,
-			"answer_begun", a.promptProcessed, "parts", loggedParts(x.meta.Parts), "crashes", decision.CrashCount, "at_ms", entry.AtMS)
+			"answer_begun", a.answerBegun, "parts", loggedParts(x.meta.Parts), "crashes", decision.CrashCount, "at_ms", entry.AtMS)
 	}
 	return decision
 }
--- a/direct/router.go
+++ b/direct/router.go
@@ -27,6 +27,7 @@
 	"jackdawswitch/endpointnotice"
 	"jackdawswitch/evacuation"
 	"jackdawswitch/prepaid"
+	"jackdawswitch/quarantine"
 	"jackdawswitch/rpc"
 )
 
@@ -98,8 +99,10 @@
 	// patienceFloor is minPatience, or shorter in tests.
 	patienceFloor time.Duration
 	// quarantine stops requests that crash endpoints from running again.
-	quarantine *quarantine
-	peers      *peers
+	quarantine *requestQuarantine
+	// partCrashes does so for requests that share prompt parts which crash endpoints.
+	partCrashes *partCrashes
+	peers       *peers
 	// fleetKnowledge decides whether this router may send to cold endpoints.
 	fleetKnowledge fleetKnowledge
 	// config is nil until the first configuration is applied; applyMu serializes the
@@ -139,7 +142,8 @@
 	r.credit.SetAssigned(nil, 0, 1)
 	r.peers.credit, r.peers.lender = r.credit, newLender(r.credit, opts.Logger)
 	r.fleetCredit = newFleetCredit(r.credit, r.peers, &r.late, opts.Logger, opts.Metrics)
-	r.quarantine = &quarantine{crashTracker: newCrashTracker(), router: r}
+	r.quarantine = &requestQuarantine{crashTracker: newCrashTracker(), router: r}
+	r.partCrashes = newPartCrashes(r, opts.Metrics)
 	return r
 }
 
@@ -357,6 +361,8 @@
 	// Evacuated are the evacuated failure domains, Cold the cold endpoints.
 	Evacuated []evacuation.View `json:"evacuated"`
 	Cold      []coldstart.View  `json:"cold"`
+	// QuarantinedParts are the prompt parts that crashed endpoints.
+	QuarantinedParts []quarantine.Status `json:"quarantinedParts"`
 }
 
 // Dump returns a snapshot of the router's state for encoding as JSON, without
@@ -365,7 +371,7 @@
 	d := Dump{
 		VM: r.opts.Settings.VM, Ready: r.Ready(), Draining: r.draining.Load(),
 		Unready: r.unreadyReasons(), Pressure: r.pressure(), Peers: r.peers.count(), Lent: r.peers.lender.count(),
-		HandOvers: r.credit.HandOvers(),
+		HandOvers: r.credit.HandOvers(), QuarantinedParts: r.partCrashes.status(),
 		Endpoints: r.endpointStatuses(), Notices: r.noticeStatuses(), Credit: r.creditAccounts(),
 	}
 	d.Evacuated, d.Cold = r.placeViews()
--- a/direct/routerrecord.go
+++ b/direct/routerrecord.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"jackdawswitch/prepaid"
+	"jackdawswitch/quarantine"
 	"jackdawswitch/storage"
 )
 
@@ -36,6 +37,10 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Crashes are the router's own crash entries.
 	Crashes []crashEntry `json:"crashes,omitempty"`
+	// PartCrashes are the crashes that the router saw with the prompt parts that may have
+	// caused them, and PartAnswers the answers that clear such parts.
+	PartCrashes []quarantine.Crash  `json:"partCrashes,omitempty"`
+	PartAnswers []quarantine.Answer `json:"partAnswers,omitempty"`
 	// Era is the era of the table service in which the record was written, and how far the
 	// router has checked its accounts in it.
 	Era prepaid.EraProgress `json:"era,omitzero"`
@@ -66,6 +71,8 @@
 		return routerRecord{}, errors.WithStack(&RouterRecordError{VM: vm, Cause: err})
 	}
 	record.Crashes = record.Crashes[:min(len(record.Crashes), maxCrashEntries)]
+	record.PartCrashes = record.PartCrashes[:min(len(record.PartCrashes), maxPartCrashes)]
+	record.PartAnswers = record.PartAnswers[:min(len(record.PartAnswers), maxPartAnswers)]
 	return record, nil
 }
 
@@ -96,7 +103,9 @@
 	if vm == r.opts.Settings.VM && record.Incarnation == r.opts.Incarnation {
 		r.fleetKnowledge.ownRecordRead(time.Now())
 	}
-	r.quarantine.merge(record.Crashes, vm == r.opts.Settings.VM)
+	own := vm == r.opts.Settings.VM
+	r.quarantine.merge(record.Crashes, own)
+	r.partCrashes.merge(record.PartCrashes, record.PartAnswers, own)
 }
 
 // publishRouterRecord saves this router's record at the start, whenever its crash entries
@@ -110,9 +119,10 @@
 		if time.Since(lastExpiry) >= crashExpiryInterval {
 			lastExpiry = time.Now()
 			r.quarantine.expire(r.quarantine.tableNowMS())
+			r.partCrashes.expire(r.quarantine.tableNowMS())
 		}
 		leaving := r.draining.Load()
-		if entries, unsaved := r.quarantine.snapshot(); unsaved || r.recordDue() || leaving != savedLeaving {
+		if entries, unsaved := r.quarantine.snapshot(); unsaved || r.partCrashes.unsaved() || r.recordDue() || leaving != savedLeaving {
 			err := r.saveRouterRecord(ctx, entries, leaving)
 			if err == nil {
 				savedLeaving = leaving
@@ -151,9 +161,11 @@
 		version = rows[0].Version
 	}
 	era := r.credit.Progress()
+	partCrashes, partAnswers, partVersion := r.partCrashes.published()
 	value, err := json.Marshal(routerRecord{
 		Incarnation: r.opts.Incarnation, Address: r.opts.Settings.PeerAddress,
 		FailureDomain: r.opts.Settings.FailureDomain, Leaving: leaving, Crashes: crashes, Era: era,
+		PartCrashes: partCrashes, PartAnswers: partAnswers,
 	})
 	if err != nil {
 		return errors.WithStack(err)
@@ -171,5 +183,6 @@
 		r.recordSaved.Store(nil)
 	}
 	r.quarantine.markSaved(crashes)
+	r.partCrashes.markSaved(partVersion)
 	return nil
 }
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -160,7 +160,7 @@
 	return nil
 }
 
-// admit checks the quarantine, counts the request for the retry budget, sets the
+// admit checks the quarantines of requests and prompt parts, counts the request for the retry budget, sets the
 // write deadline and reserves the largest number of prepaid tokens that the request
 // may use. Its error is a *refusal.Error.
 func (x *exchange) admit(ctx context.Context) error {
@@ -168,6 +168,9 @@
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
+	if err := x.checkParts(); err != nil {
+		return err
+	}
 	r.retries.recordRequest(x.service)
 	if err := x.responseController().SetWriteDeadline(x.deadline.Add(writeSlack)); err != nil {
 		return refusal.NotRun(refusal.CauseInternal, "no write deadline").WithError(err)
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -66,7 +66,6 @@
 	scanner := bufio.NewScanner(stream)
 	scanner.Buffer(make([]byte, 0, initialEventBufferBytes), maxEventBytes)
 	scanner.Split(splitEvents)
-	dataSeen := false
 	for scanner.Scan() {
 		if !a.promptProcessed {
 			a.promptProcessed = true
@@ -75,7 +74,7 @@
 		}
 		stream.taken(len(scanner.Bytes()))
 		isData := hasData(scanner.Bytes())
-		if isData || !dataSeen {
+		if isData || !a.answerBegun {
 			a.timer.complete()
 		} else {
 			a.timer.suspend()
@@ -86,7 +85,7 @@
 		}
 		source.delivered = true
 		if isData {
-			dataSeen = true
+			x.recordAnswerBegun(a)
 			source.timed = true
 		}
 	}
