direct: a restarted router doesn't erase the crashes of its predecessor

What callers would see: after a restart of all routers, requests that crash endpoints, by their fingerprint or by a prompt part, are let pass again.

Cause: a router writes its record at its start, with the crashes that it knows, on the condition of the row's version only. If that comes before it has read the row, the row of its predecessor is replaced by one without crashes. Routers that are still running remember them; those that start later don't.

Change: the record that is about to be replaced is read for its version already; its crashes are merged first if another process wrote it.

Evidence: TestProofARestartedRouterDoesNotEraseItsPredecessorsCrashes failed before (the successor and a new router let the request pass) and passes.

--- a/direct/partcrash_test.go
+++ b/direct/partcrash_test.go
@@ -240,3 +240,27 @@
 		})
 	}
 }
+
+// TestProofARestartedRouterDoesNotEraseItsPredecessorsCrashes guards against a router that
+// writes its record before it has read that of its predecessor on the VM.
+func TestProofARestartedRouterDoesNotEraseItsPredecessorsCrashes(t *testing.T) {
+	f := newPartFleet(t, 1, 4)
+	for range 3 {
+		f.send(0, "/stream/a", deadlyPart)
+		time.Sleep(downTime / 3)
+	}
+	f.share(0)
+	successor := f.startRouter("vm-0", 2)
+	f.share(successor)
+	reader := f.startRouter("vm-1", 1)
+	f.read(reader)
+	for name, router := range map[string]int{"the successor": successor, "another router": reader} {
+		before := f.crashCount()
+		if status := f.send(router, "/stream/b", deadlyPart); status != http.StatusServiceUnavailable || f.crashCount() != before {
+			t.Errorf("%s let the request pass: status %d", name, status)
+		}
+		if len(f.routers[router].quarantine.records) == 0 {
+			t.Errorf("%s doesn't know the crash entries of requests", name)
+		}
+	}
+}
--- a/direct/routerrecord.go
+++ b/direct/routerrecord.go
@@ -139,6 +139,18 @@
 	}
 }
 
+// mergePredecessor merges the crashes in the stored record of this VM if another process
+// wrote it, so that they aren't lost when the record is replaced. It reports whether it did.
+func (r *Router) mergePredecessor(data []byte) bool {
+	record, err := decodeRouterRecord(r.opts.Settings.VM, data)
+	if err != nil || record.Incarnation == r.opts.Incarnation {
+		return false
+	}
+	r.quarantine.merge(record.Crashes, true)
+	r.partCrashes.merge(record.PartCrashes, record.PartAnswers, true)
+	return true
+}
+
 // recordDue reports whether the table service lacks the record, or this router's progress
 // in its era.
 func (r *Router) recordDue() bool {
@@ -159,6 +171,9 @@
 	var version uint64
 	if len(rows) > 0 {
 		version = rows[0].Version
+		if r.mergePredecessor(rows[0].Value) {
+			crashes, _ = r.quarantine.snapshot()
+		}
 	}
 	era := r.credit.Progress()
 	partCrashes, partAnswers, partVersion := r.partCrashes.published()
