--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -88,6 +88,9 @@
 	body []byte
 	// stream is the open response body of a stream.
 	stream io.ReadCloser
+	// unframed is set if the stream has neither a length nor chunks, and ends with its
+	// connection.
+	unframed bool
 	// crashed is set when the attempt counts as a crash of the endpoint: the request
 	// was sent, but the response could not be read to its end.
 	crashed bool
@@ -247,7 +250,7 @@
 	a.outcome, a.headersAt = outcomeAnswered, time.Now()
 	if x.route.Streaming && a.status == http.StatusOK {
 		a.timer.expect(partEvent)
-		a.stream = resp.Body
+		a.stream, a.unframed = resp.Body, resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		return
 	}
 	a.timer.expect(partBody)
