direct: one crash of an endpoint doesn't quarantine identical requests

What callers would see: when an endpoint that runs three or more identical requests crashes (a popular lookup, say), or a failure domain with one of them at each of three endpoints, all further ones are refused for ten minutes, on every router, though they are sound.

Cause: each broken attempt counted as a crash of its own. Attempts that were in flight together were broken by one event and say nothing more than one of them does.

Change: a crash entry has the time at which its attempt began, and counts only if the attempt wasn't in flight together with one that counted. Retries, which follow each other, count as before; entries of routers of an earlier version, which have no such time, too.

Evidence: TestProofOneCrashDoesNotQuarantineItsIdenticalRequests failed before (503 with Retry-After 600, at the router and another one) and passes, 6 of 6; the tests of quarantined requests pass unchanged.

--- a/direct/crashtracker.go
+++ b/direct/crashtracker.go
@@ -35,15 +35,31 @@
 	// Endpoint is the ID of the crashed endpoint. It is empty if the request was
 	// answered.
 	Endpoint string `json:"endpoint,omitempty"`
-	// AtMS is the time in Unix milliseconds by the table service's clock.
-	AtMS int64 `json:"atMs"`
+	// SentMS is when the attempt began, AtMS when it ended, in Unix milliseconds by the table
+	// service's clock. SentMS is 0 in entries of routers of an earlier version.
+	SentMS int64 `json:"sentMs,omitempty"`
+	AtMS   int64 `json:"atMs"`
+}
+
+// overlaps reports whether two attempts were in flight at the same time.
+func (e crashEntry) overlaps(other crashEntry) bool {
+	return e.SentMS > 0 && other.SentMS > 0 && e.SentMS < other.AtMS && other.SentMS < e.AtMS
+}
+
+// maxCountedCrashes bounds the crashes that are remembered of one request.
+const maxCountedCrashes = 32
+
+// requestCrashes are the known crashes of one request. counted are the entries in the record.
+type requestCrashes struct {
+	claim.CrashRecord
+	counted []crashEntry
 }
 
 // crashTracker tracks which requests crashed endpoints, from the entries of this
 // router and of all others. Its times are those of the table service's clock.
 type crashTracker struct {
 	mu      sync.Mutex
-	records map[string]*claim.CrashRecord
+	records map[string]*requestCrashes
 	// ownEntries are the entries that this router publishes. ownUnsaved is set while
 	// the stored router record lacks some of them.
 	ownEntries []crashEntry
@@ -51,7 +67,7 @@
 }
 
 func newCrashTracker() *crashTracker {
-	return &crashTracker{records: make(map[string]*claim.CrashRecord)}
+	return &crashTracker{records: make(map[string]*requestCrashes)}
 }
 
 func crashPolicy() claim.CrashPolicy {
@@ -109,7 +125,7 @@
 func (t *crashTracker) apply(entry crashEntry) {
 	record := t.records[entry.Request]
 	if record == nil {
-		record = &claim.CrashRecord{}
+		record = &requestCrashes{}
 		t.records[entry.Request] = record
 	}
 	at := time.UnixMilli(entry.AtMS)
@@ -119,6 +135,13 @@
 		}
 		return
 	}
+	// One crash breaks all identical requests at its endpoint, and one failure of a domain
+	// those at several. Only an attempt that began after the last crash is further evidence.
+	if slices.ContainsFunc(record.counted, entry.overlaps) {
+		return
+	}
+	record.counted = append(record.counted, entry)
+	record.counted = record.counted[max(len(record.counted)-maxCountedCrashes, 0):]
 	// Each attempt counts as a separate endpoint: a crashed endpoint has often
 	// restarted under the same ID before the request is retried.
 	record.Add(claim.Crash{Attempt: entry.Attempt, Endpoint: entry.Attempt, CrashedAt: at}, "")
--- a/direct/quarantine.go
+++ b/direct/quarantine.go
@@ -60,6 +60,7 @@
 		return claim.QuarantineDecision{}
 	}
 	entry := crashEntry{Request: x.fingerprint(), Attempt: x.meta.ID + "/" + a.choice.Endpoint.ID, AtMS: q.tableNowMS()}
+	entry.SentMS = entry.AtMS - time.Since(a.sentAt).Milliseconds()
 	if !answered {
 		entry.Endpoint = a.choice.Endpoint.ID
 	}
--- a/direct/quarantine_test.go
+++ b/direct/quarantine_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -78,6 +80,40 @@
 	}
 }
 
+// TestProofOneCrashDoesNotQuarantineItsIdenticalRequests guards against requests that are
+// refused because one crash of an endpoint broke several of them at once.
+func TestProofOneCrashDoesNotQuarantineItsIdenticalRequests(t *testing.T) {
+	const atOnce = 5
+	arrived := make(chan struct{}, atOnce)
+	crash := make(chan struct{})
+	g, other := newTestRouter(t, 3, func(w http.ResponseWriter, _ *http.Request) {
+		select {
+		case <-crash:
+			_, _ = w.Write([]byte("done"))
+		default:
+			arrived <- struct{}{}
+			<-crash
+			resetConnection(w)
+		}
+	}), newCrashTestRouter(t, 3)
+	var group sync.WaitGroup
+	for i := range atOnce {
+		group.Go(func() { g.send(http.MethodPost, "/book/a", "popular", "T-Id", "p"+strconv.Itoa(i)) })
+	}
+	for range atOnce {
+		<-arrived
+	}
+	time.Sleep(20 * time.Millisecond)
+	close(crash)
+	group.Wait()
+	shareCrashEntries(t, g, other)
+	for name, r := range map[string]*testRouter{"the router itself": g, "another router": other} {
+		if got := r.send(http.MethodPost, "/book/a", "popular", "T-Id", "q"); got.status != http.StatusOK {
+			t.Errorf("%s: response to a sound request after one crash: %+v", name, got)
+		}
+	}
+}
+
 func TestRequestIsNotRetriedOnceQuarantined(t *testing.T) {
 	g := newCrashTestRouter(t, 5)
 	// A repeatable request has two attempts. The second attempt of the second
