--- a/direct/partcrash_test.go
+++ b/direct/partcrash_test.go
@@ -209,6 +209,7 @@
 	const routers, maxCrashes, maxCrashesAfter = 3, 5, 3
 	for _, route := range []string{"/resumed/", "/stream/", "/read/"} {
 		t.Run(route, func(t *testing.T) {
+			t.Parallel()
 			f := newPartFleet(t, routers, 12)
 			for i := range routers {
 				f.send(i, route+"a", "shared", "doc-0")
