--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -135,7 +135,7 @@
 // headers. It also reads the response body, unless the response is a stream.
 func (x *exchange) startAttempt(ctx context.Context, choice routing.PromptChoice) *attempt {
 	a := &attempt{
-		choice: choice, meta: ResponseMeta{Load: -1, ColdFor: -1}, sentAt: time.Now(), lateBefore: x.router.late.sum(),
+		choice: choice, meta: ResponseMeta{Load: -1, ColdFor: -1, RateLimit: -1}, sentAt: time.Now(), lateBefore: x.router.late.sum(),
 		timer: newPartTimer(ctx, x.route.patience(x.router.patienceFloor)),
 	}
 	sent := false
--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -65,7 +65,7 @@
 func (testProtocol) ParseResponse(_ int, h http.Header) ResponseMeta {
 	pause, _ := strconv.Atoi(h.Get("T-Pause"))
 	meta := ResponseMeta{
-		RequestID: h.Get("T-Id"), Instance: h.Get("T-Instance"), Signed: h.Get("T-Signed") != "", NotRun: h.Get("T-Not-Run") != "", Load: -1, ColdFor: -1,
+		RequestID: h.Get("T-Id"), Instance: h.Get("T-Instance"), Signed: h.Get("T-Signed") != "", NotRun: h.Get("T-Not-Run") != "", Load: -1, ColdFor: -1, RateLimit: -1,
 		Leaving: h.Get("T-Leaving") != "", RetryAfter: time.Duration(pause) * time.Millisecond,
 	}
 	if cold, err := time.ParseDuration(h.Get("T-Cold")); err == nil {
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -64,6 +64,9 @@
 	// RetryAfter is the time for which an endpoint that rejected the request wants no
 	// further ones from this router; 0 if not specified.
 	RetryAfter time.Duration
+	// RateLimit is the number of requests a second that the endpoint takes from all routers
+	// together; negative if it names no limit.
+	RateLimit float64
 	// ColdFor is how long the endpoint remains cold, that is, slow after its start;
 	// negative if not specified.
 	ColdFor time.Duration
--- a/direct/replaced.go
+++ b/direct/replaced.go
@@ -20,7 +20,7 @@
 // dropForeignWord removes what another endpoint says of itself from the response, so that it
 // isn't held for the word of the chosen one.
 func (a *attempt) dropForeignWord() {
-	a.meta.Leaving, a.meta.RetryAfter, a.meta.ColdFor = false, 0, -1
+	a.meta.Leaving, a.meta.RetryAfter, a.meta.ColdFor, a.meta.RateLimit = false, 0, -1, -1
 	a.meta.Load, a.meta.Running, a.meta.Waiting, a.meta.Slots, a.meta.Slowdown = -1, 0, 0, 0, 0
 }
 
@@ -29,6 +29,11 @@
 // invalid or a copy of an earlier one.
 func (x *exchange) recordWord(a *attempt) {
 	if !a.isAnotherEndpoint() {
+		if a.meta.RateLimit >= 0 || x.router.limitsNamed.Load() {
+			x.router.limitsNamed.Store(true)
+			x.router.logger.Info("endpoint limit", "endpoint", a.choice.Endpoint.ID, "rate", a.meta.RateLimit, "status", a.status,
+				"not_run", a.meta.NotRun, "signed", a.meta.Signed, "sent_ms", time.Since(a.sentAt).Milliseconds())
+		}
 		x.router.recordNotice(a.choice.Endpoint, a.meta)
 		return
 	}
--- a/direct/router.go
+++ b/direct/router.go
@@ -109,6 +109,8 @@
 	// calls of ApplyConfig.
 	config   atomic.Pointer[compiledConfig]
 	draining atomic.Bool
+	// limitsNamed is set once an endpoint has named a limit.
+	limitsNamed atomic.Bool
 	// recordSaved is the progress in this router's record, as far as is known, nil if the
 	// table service lacks the record.
 	recordSaved atomic.Pointer[prepaid.EraProgress]
