fleetshare: the division of a fleet's bound as a package of its own

Change: places, their owners and the division of a bound move from coldstart to fleetshare, with the window of the bound as a field.

--- a/coldstart/coldstart.go
+++ b/coldstart/coldstart.go
@@ -16,28 +16,16 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 	"time"
 
+	"jackdawswitch/fleetshare"
 	"jackdawswitch/rendezvous"
 )
 
 const (
 	// boundWindow is the span to which the declared bound applies.
 	boundWindow = time.Second
-	// arrivalSpread is how much longer the way of one request to an endpoint may take than
-	// that of another: connecting takes up to 400 ms.
-	arrivalSpread = 400 * time.Millisecond
-	// window is the span in which a place serves one request. Two requests of one place
-	// arrive in different spans of boundWindow.
-	window = boundWindow + arrivalSpread
-
-	// fleetViews is the number of different views of the fleet whose routers may send at
-	// the same time without exceeding the bound: that before and that after a change that
-	// not all routers have read.
-	fleetViews = 2
-
 	// rampTime is how long the requests to an endpoint that has become warm remain
 	// limited. The limit doubles every rampStep.
 	rampTime = time.Second
@@ -74,25 +62,9 @@
 	Slack   int
 }
 
-// division is how the requests to a cold endpoint are divided: into places of one request
-// in each window.
-type division struct {
-	places int
-	window time.Duration
-}
-
-// divide returns the division for a rate in requests a second. Without a bound or a rate
-// its window is 0. It has no places if the bound is below one request of each fleet view.
-func (b Bound) divide(rate float64) division {
-	if rate <= 0 || b == (Bound{}) {
-		return division{}
-	}
-	perView := int(rate*b.Overrun+float64(b.Slack)) / fleetViews
-	d := division{places: min(perView, int(rate*window.Seconds())), window: window}
-	if d.places == 0 && perView > 0 {
-		d.places, d.window = 1, time.Duration(math.Ceil(float64(time.Second)/rate))
-	}
-	return d
+// divide returns how the requests to a cold endpoint of the given rate are divided.
+func (b Bound) divide(rate float64) fleetshare.Division {
+	return fleetshare.Bound{Overrun: b.Overrun, Slack: b.Slack, Window: boundWindow}.Divide(rate)
 }
 
 // Endpoint identifies one incarnation of an endpoint. A Limiter doesn't use FailureDomain.
@@ -150,10 +122,10 @@
 
 // Limiter limits the requests of one router to cold endpoints.
 type Limiter struct {
-	bound Bound
-	self  uint64
-	// routers are the hashes of all routers that may send; nil if the fleet is not known.
-	routers  []uint64
+	bound  Bound
+	router string
+	// fleet are all routers that may send.
+	fleet    fleetshare.Fleet
 	services map[string]Service
 	// version is incremented when the routers or services change.
 	version   uint64
@@ -168,7 +140,7 @@
 // NewLimiter returns a Limiter for the router with the given name. It sends nothing to cold
 // endpoints until SetFleet is called.
 func NewLimiter(router string, bound Bound) *Limiter {
-	return &Limiter{bound: bound, self: rendezvous.Hash(router), endpoints: make(map[string]*state), groups: make(map[string]*group), failing: make(map[string]time.Time)}
+	return &Limiter{bound: bound, router: router, fleet: fleetshare.NewFleet(router, nil), endpoints: make(map[string]*state), groups: make(map[string]*group), failing: make(map[string]time.Time)}
 }
 
 // SetServices sets the services of the configuration in force.
@@ -180,10 +152,7 @@
 // SetFleet sets the names of all routers that may send, this one included if it may. No
 // names mean that the fleet is not known.
 func (l *Limiter) SetFleet(now time.Time, routers []string) {
-	l.routers = nil
-	for _, name := range routers {
-		l.routers = append(l.routers, rendezvous.Hash(name))
-	}
+	l.fleet = fleetshare.NewFleet(l.router, routers)
 	l.update(now)
 }
 
@@ -195,12 +164,12 @@
 		before := s.places
 		l.assign(s)
 		if gained := func(place int) bool { return !slices.Contains(before, place) }; slices.ContainsFunc(s.places, gained) {
-			s.notBefore = now.Add(l.divisionOf(s).window)
+			s.notBefore = now.Add(l.divisionOf(s).Window)
 		}
 	}
 }
 
-func (l *Limiter) divisionOf(s *state) division {
+func (l *Limiter) divisionOf(s *state) fleetshare.Division {
 	return l.bound.divide(l.services[s.endpoint.Service].Rate)
 }
 
@@ -209,23 +178,7 @@
 	if s.version == l.version {
 		return
 	}
-	s.version, s.places = l.version, nil
-	if !slices.Contains(l.routers, l.self) {
-		return
-	}
-	key := rendezvous.Hash(s.endpoint.ID)
-	for place := range l.divisionOf(s).places {
-		if l.owns(rendezvous.Score(key, uint64(place)+1)) {
-			s.places = append(s.places, place)
-		}
-	}
-}
-
-// owns reports whether no router has a higher score for a place than this one. On the mean
-// it compares as many routers as the logarithm of their number.
-func (l *Limiter) owns(place uint64) bool {
-	own := rendezvous.Score(place, l.self)
-	return !slices.ContainsFunc(l.routers, func(router uint64) bool { return rendezvous.Score(place, router) > own })
+	s.version, s.places = l.version, l.fleet.Owned(s.endpoint.ID, l.divisionOf(s).Places)
 }
 
 // Registered records how long an endpoint remains cold by its registration; 0 says that it
@@ -298,7 +251,7 @@
 // taken for cold for its service's ColdTime, unless it says otherwise.
 func (l *Limiter) Presume(now time.Time, e Endpoint) Change {
 	service := l.services[e.Service]
-	if service.ColdTime <= 0 || l.bound.divide(service.Rate).window == 0 {
+	if service.ColdTime <= 0 || l.bound.divide(service.Rate).Window == 0 {
 		return Unchanged
 	}
 	until := now.Add(service.ColdTime)
@@ -334,8 +287,7 @@
 	*s = state{endpoint: e, coldUntil: until, earlierFrom: now.Add(maxUnconfirmed)}
 	l.assign(s)
 	if len(s.places) > 0 {
-		share := phase(rendezvous.Score(rendezvous.Hash(e.ID), l.self))
-		s.notBefore = now.Add(time.Duration(share * float64(l.interval(now, s))))
+		s.notBefore = now.Add(time.Duration(l.fleet.Phase(e.ID) * float64(l.interval(now, s))))
 	}
 	return BecameCold
 }
@@ -359,18 +311,18 @@
 	d := l.bound.divide(service.Rate)
 	warmFor := now.Sub(s.coldUntil)
 	switch {
-	case d.window == 0 || warmFor >= rampTime:
+	case d.Window == 0 || warmFor >= rampTime:
 		return 0
-	case warmFor >= 0 && len(l.routers) > 0:
+	case warmFor >= 0 && l.fleet.Size() > 0:
 		rate := service.Rate * float64(int64(2)<<(warmFor/rampStep))
-		return time.Duration(float64(len(l.routers)) / rate * float64(time.Second))
+		return time.Duration(float64(l.fleet.Size()) / rate * float64(time.Second))
 	}
 	l.assign(s)
 	if len(s.places) == 0 {
 		return -1
 	}
 	// One nanosecond more, so that a window never has a request too many.
-	return d.window/time.Duration(len(s.places)) + 1
+	return d.Window/time.Duration(len(s.places)) + 1
 }
 
 // Bars reports whether an endpoint must get no request of this router now.
@@ -440,7 +392,7 @@
 			return free
 		}
 	}
-	steps := float64(s.refused%returnSteps) + phase(rendezvous.Hash(s.endpoint.ID))
+	steps := float64(s.refused%returnSteps) + fleetshare.Phase(rendezvous.Hash(s.endpoint.ID))
 	return later(s.coldUntil, now).Add(time.Duration(steps * float64(rampTime/returnSteps)))
 }
 
@@ -508,9 +460,6 @@
 	return n
 }
 
-// phase maps a hash to 0..1.
-func phase(hash uint64) float64 { return float64(hash) / math.MaxUint64 }
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/coldstart/coldstart_test.go
+++ b/coldstart/coldstart_test.go
@@ -6,8 +6,13 @@
 	"slices"
 	"testing"
 	"time"
+
+	"jackdawswitch/fleetshare"
 )
 
+// window is the span in which a place at a cold endpoint serves one request.
+const window = boundWindow + fleetshare.ArrivalSpread
+
 const (
 	coldTime = 3 * time.Second
 	coldRate = 17
@@ -47,7 +52,7 @@
 				continue
 			}
 			l.Sent(now, "e")
-			arrivals = append(arrivals, at+time.Duration(random.Int64N(int64(arrivalSpread))))
+			arrivals = append(arrivals, at+time.Duration(random.Int64N(int64(fleetshare.ArrivalSpread))))
 		}
 	}
 	slices.Sort(arrivals)
@@ -251,16 +256,16 @@
 func TestASmallBoundIsKept(t *testing.T) {
 	for _, c := range []struct {
 		rate float64
-		want division
+		want fleetshare.Division
 	}{
-		{rate: 0.2, want: division{places: 1, window: 5 * time.Second}},
-		{rate: 1, want: division{places: 1, window: window}},
+		{rate: 0.2, want: fleetshare.Division{Places: 1, Window: 5 * time.Second}},
+		{rate: 1, want: fleetshare.Division{Places: 1, Window: window}},
 	} {
 		if got := (Bound{Overrun: 1.5, Slack: 2}).divide(c.rate); got != c.want {
 			t.Errorf("rate %v: %+v, want %+v", c.rate, got, c.want)
 		}
 	}
-	if got := (Bound{Overrun: 1}).divide(1); got.places != 0 || got.window == 0 {
+	if got := (Bound{Overrun: 1}).divide(1); got.Places != 0 || got.Window == 0 {
 		t.Errorf("a bound of one request: %+v", got)
 	}
 }
