endpointlimit: all routers together keep to the limit that an endpoint names

What callers saw: an endpoint in need named 1.6 requests a second in every response and got 32 in 4 s, as many as before; 11 of 12 endpoints of a service did. Such endpoints are the ones that fail next.

Cause: nothing read Server-Limit; routers chose as if there were none. Class: a bound on what all routers send together that no code divides among them.

Change: package endpointlimit (pure) divides each limit into places of one request in 4.4 s, as cold rates are divided, so that the sum over all routers keeps to it whichever of two views of the fleet they have. The head of a response counts, also of a stream; a signed response without a limit ends it if its request was sent after the limit was last heard. Most routers of a large fleet own no place and hear nothing, so that beginnings, changes and ends go to the others in the load updates, and every 2 s while a limit lasts; unheard for 10 s, all share half of it. After its end the rate doubles every 250 ms for a second. A refused caller is told when the next place is free. Limits are those of one process, 16,384 at most, forgotten after 10 minutes.

Ruled out: each router keeping to the limit by itself (32 requests in 4 s at four routers, allowed 17, a mutation); an equal share for each router (1 request of each of 103 in 4 s is more than the bound).

TestProofALimitHoldsForTheSumOfAllRouters: 1 to 103 routers, limits of 0.5 to 40, five views of the fleet; with each router by itself it fails 160 times. The ends reach routers without places within 6 s (TestProofTheEndOfALimitReachesRoutersWithoutPlaces).

--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -36,6 +36,7 @@
 	constraints []constraint
 	places      *places
 	notices     *notices
+	limits      *limits
 }
 
 func newEndpointSet(failureDomain string, logger *slog.Logger) *endpointSet {
@@ -47,6 +48,7 @@
 		reported:    make(map[string]reportedLoad),
 		peerReports: make(map[string]peerReport),
 		places:      newPlaces(Settings{}, logger, tally.NoopScope),
+		limits:      newLimits("", logger, tally.NoopScope),
 	}
 	e.useNotices(newNotices(logger))
 	return e
@@ -124,6 +126,7 @@
 	e.dropStalePeerLoads(time.Now())
 	e.repeatReports(time.Now())
 	e.places.expire(time.Now())
+	e.limits.expire(time.Now())
 	for _, domain := range e.places.evacuated.Expired(time.Now()) {
 		e.endEvacuation(time.Now(), domain)
 	}
@@ -172,7 +175,7 @@
 	}
 	choice, err := e.picker.Pick(now, q)
 	if err != nil {
-		return choice, e.places.refused(now, q.Service, err)
+		return choice, e.limits.refused(now, q.Service, e.places.refused(now, q.Service, err))
 	}
 	for _, c := range e.constraints {
 		c.sending(now, choice.Endpoint)
--- a/direct/limit_test.go
+++ b/direct/limit_test.go
@@ -72,7 +72,7 @@
 			}
 		}
 		r.fleetKnowledge.known = true
-		r.updateColdFleet()
+		r.updateSendingFleet()
 	}
 	return f, all[0]
 }
--- a/direct/loadreports.go
+++ b/direct/loadreports.go
@@ -173,6 +173,7 @@
 		e.picker.SetPeerLoad(from, load)
 		e.picker.Learn(now, load.Endpoint, load.News)
 		e.hearReplaced(now, from, load.Endpoint, load.News.Replaced)
+		e.hearLimit(now, from, load.Endpoint, load.News)
 		for sub := range e.subscribers {
 			if relay && sub.relayed {
 				sub.markNews(loadKey{from: from, endpoint: load.Endpoint}, load.News)
--- a/direct/loads.go
+++ b/direct/loads.go
@@ -10,6 +10,7 @@
 	"time"
 
 	pb "jackdawswitch/api/jackdawv1"
+	"jackdawswitch/endpointlimit"
 	"jackdawswitch/prepaid"
 	"jackdawswitch/rendezvous"
 	"jackdawswitch/routing"
@@ -186,9 +187,17 @@
 // percent is the number of parts in a whole, in which slowdowns are sent.
 const percent = 100
 
+// thousandths is the number of parts in a whole, in which limits are sent.
+const thousandths = 1000
+
 func encodeLoad(load routing.PeerLoad) *pb.EndpointLoad {
 	out := &pb.EndpointLoad{Endpoint: load.Endpoint, Unread: load.UnreadTokens, ReplacedProcess: load.News.Replaced}
 	out.PaceTokens, out.PaceUs = load.News.Pace.Tokens, load.News.Pace.Time.Microseconds()
+	if out.LimitProcess = load.News.LimitOf; out.LimitProcess != 0 {
+		limit := load.News.Limit
+		out.LimitMilli, out.LimitEnded = int64(math.Round(limit.Rate*thousandths)), limit.Ended
+		out.LimitAgeMs, out.LimitSentAgeMs = time.Since(limit.At).Milliseconds(), time.Since(limit.SentAt).Milliseconds()
+	}
 	if load.News.Slowdown > 0 {
 		out.SlowdownPercent = int32(math.Round(load.News.Slowdown * percent))
 		out.SlowdownAgeMs = time.Since(load.News.SlowdownAt).Milliseconds()
@@ -196,12 +205,36 @@
 	return out
 }
 
+// maxLimitAge is the age beyond which what was heard of a limit tells nothing, and maxLimit the
+// highest limit that other routers are believed, in requests a second.
+const (
+	maxLimitAge = time.Minute
+	maxLimit    = 1e6
+)
+
+// decodeLimit adds what another router heard of a limit to its news, if it is valid.
+func decodeLimit(load *pb.EndpointLoad, news *routing.EndpointNews) {
+	age, sentAge := load.GetLimitAgeMs(), load.GetLimitSentAgeMs()
+	rate := float64(load.GetLimitMilli()) / thousandths
+	inBounds := age >= 0 && age <= sentAge && sentAge <= maxLimitAge.Milliseconds() && rate <= maxLimit
+	if load.GetLimitProcess() == 0 || !inBounds || rate < 0 && !load.GetLimitEnded() {
+		return
+	}
+	now := time.Now()
+	news.LimitOf = load.GetLimitProcess()
+	news.Limit = endpointlimit.Word{
+		Rate: rate, Ended: load.GetLimitEnded(),
+		At: now.Add(-time.Duration(age) * time.Millisecond), SentAt: now.Add(-time.Duration(sentAge) * time.Millisecond),
+	}
+}
+
 // maxSlowdownAge is the age beyond which a reported slowdown tells nothing.
 const maxSlowdownAge = time.Minute
 
 func decodeLoad(load *pb.EndpointLoad) routing.PeerLoad {
 	out := routing.PeerLoad{Endpoint: load.GetEndpoint(), UnreadTokens: load.GetUnread()}
 	out.News.Replaced = load.GetReplacedProcess()
+	decodeLimit(load, &out.News)
 	if us := load.GetPaceUs(); us >= 0 && us <= time.Hour.Microseconds() {
 		// What isn't valid is dropped before it is added to other reports.
 		if pace := (routing.Pace{Tokens: load.GetPaceTokens(), Time: time.Duration(us) * time.Microsecond}); pace.Valid() {
--- a/direct/places.go
+++ b/direct/places.go
@@ -233,11 +233,13 @@
 	e.places.cold.SetServices(time.Now(), out)
 }
 
-// setColdFleet sets the routers among which the rate of cold endpoints is divided.
-func (e *endpointSet) setColdFleet(routers []string) {
+// setSendingFleet sets the routers among which the rates of cold and limited endpoints are
+// divided.
+func (e *endpointSet) setSendingFleet(routers []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.places.cold.SetFleet(time.Now(), routers)
+	e.limits.SetFleet(time.Now(), routers)
 }
 
 // placeViews returns the evacuated failure domains and the cold endpoints.
@@ -265,7 +267,7 @@
 	since time.Time
 	known bool
 
-	// lastFleet and lastDraining are the values of the last call of updateColdFleet.
+	// lastFleet and lastDraining are the values of the last call of updateSendingFleet.
 	lastFleet    *prepaid.Fleet
 	lastDraining bool
 }
@@ -302,10 +304,10 @@
 	r.fleetKnowledge.setUnavailable(time.Now(), unavailable)
 }
 
-// updateColdFleet divides the rate of cold endpoints again if the fleet has changed. A
+// updateSendingFleet divides the rates of cold and limited endpoints again if the fleet has changed. A
 // draining router sends nothing to them, as the others take over its part. Only
 // assignAccounts calls it.
-func (r *Router) updateColdFleet() {
+func (r *Router) updateSendingFleet() {
 	k := &r.fleetKnowledge
 	fleet, _ := r.peers.currentFleet()
 	draining := r.draining.Load()
@@ -317,8 +319,8 @@
 	if !draining {
 		routers = append(routers, r.opts.Settings.VM)
 	}
-	r.setColdFleet(routers)
-	r.logger.Info("rate of cold endpoints divided", "routers", len(routers), "draining", draining)
+	r.setSendingFleet(routers)
+	r.logger.Info("rates of cold and limited endpoints divided", "routers", len(routers), "draining", draining)
 }
 
 // stayingRouters returns the VMs of the known routers that are not about to stop.
--- a/direct/places_test.go
+++ b/direct/places_test.go
@@ -192,16 +192,16 @@
 	g := newPlacesRouter(t, func(http.ResponseWriter, *http.Request) {})
 	g.router.PutEndpoint(catalog.Endpoint{ID: "e0", Service: "s", FailureDomain: "fd-0", ColdFor: time.Minute})
 	places := func() int { return g.router.Dump().(Dump).Cold[0].Places }
-	g.router.updateColdFleet()
+	g.router.updateSendingFleet()
 	if places() != 0 {
 		t.Fatal("a router that doesn't know the fleet has places")
 	}
 	g.router.fleetKnowledge.known = true
-	if g.router.updateColdFleet(); places() == 0 {
+	if g.router.updateSendingFleet(); places() == 0 {
 		t.Fatal("the only router has no places")
 	}
 	g.router.draining.Store(true)
-	if g.router.updateColdFleet(); places() != 0 {
+	if g.router.updateSendingFleet(); places() != 0 {
 		t.Fatal("a draining router has places")
 	}
 }
--- a/direct/replaced.go
+++ b/direct/replaced.go
@@ -29,12 +29,8 @@
 // invalid or a copy of an earlier one.
 func (x *exchange) recordWord(a *attempt) {
 	if !a.isAnotherEndpoint() {
-		if a.meta.RateLimit >= 0 || x.router.limitsNamed.Load() {
-			x.router.limitsNamed.Store(true)
-			x.router.logger.Info("endpoint limit", "endpoint", a.choice.Endpoint.ID, "rate", a.meta.RateLimit, "status", a.status,
-				"not_run", a.meta.NotRun, "signed", a.meta.Signed, "sent_ms", time.Since(a.sentAt).Milliseconds())
-		}
 		x.router.recordNotice(a.choice.Endpoint, a.meta)
+		x.router.recordLimit(a)
 		return
 	}
 	a.dropForeignWord()
--- a/direct/router.go
+++ b/direct/router.go
@@ -24,6 +24,7 @@
 
 	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/coldstart"
+	"jackdawswitch/endpointlimit"
 	"jackdawswitch/endpointnotice"
 	"jackdawswitch/evacuation"
 	"jackdawswitch/prepaid"
@@ -109,8 +110,6 @@
 	// calls of ApplyConfig.
 	config   atomic.Pointer[compiledConfig]
 	draining atomic.Bool
-	// limitsNamed is set once an endpoint has named a limit.
-	limitsNamed atomic.Bool
 	// recordSaved is the progress in this router's record, as far as is known, nil if the
 	// table service lacks the record.
 	recordSaved atomic.Pointer[prepaid.EraProgress]
@@ -127,6 +126,7 @@
 		retries:     newRetryBudgets(opts.Settings.MaxRetryShare, opts.Settings.MaxRetryBurst),
 	}
 	r.usePlaces(newPlaces(opts.Settings, opts.Logger, opts.Metrics))
+	r.useLimits(newLimits(opts.Settings.VM, opts.Logger, opts.Metrics))
 	r.notices.useMetrics(opts.Metrics)
 	r.bodies = newBodyBudget(opts.Settings.MemoryBytes)
 	r.patienceFloor = minPatience
@@ -248,7 +248,7 @@
 	var lastConfig *compiledConfig
 	for {
 		r.retries.setFleetSize(1 + r.peers.count())
-		r.updateColdFleet()
+		r.updateSendingFleet()
 		fleet, unchangedFor := r.peers.currentFleet()
 		cfg := r.config.Load()
 		if cfg != nil && unchangedFor >= fleetSettleTime && (fleet != lastFleet || cfg != lastConfig) {
@@ -363,6 +363,8 @@
 	// Evacuated are the evacuated failure domains, Cold the cold endpoints.
 	Evacuated []evacuation.View `json:"evacuated"`
 	Cold      []coldstart.View  `json:"cold"`
+	// Limits are the limits that endpoints named.
+	Limits []endpointlimit.View `json:"limits"`
 	// QuarantinedParts are the prompt parts that crashed endpoints.
 	QuarantinedParts []quarantine.Status `json:"quarantinedParts"`
 }
@@ -377,6 +379,7 @@
 		Endpoints: r.endpointStatuses(), Notices: r.noticeStatuses(), Credit: r.creditAccounts(),
 	}
 	d.Evacuated, d.Cold = r.placeViews()
+	d.Limits = r.limitViews()
 	if cfg := r.config.Load(); cfg != nil {
 		d.ConfigVersion = cfg.version
 	}
--- a/routing/pace.go
+++ b/routing/pace.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"jackdawswitch/endpointlimit"
 )
 
 const (
@@ -81,9 +83,13 @@
 	// Replaced identifies the process of the endpoint that was found replaced; 0 if there is
 	// no news of it.
 	Replaced uint64
+	// Limit is what a process of the endpoint, LimitOf, said of its limit; LimitOf is 0 if
+	// there is no news of it.
+	Limit   endpointlimit.Word
+	LimitOf uint64
 }
 
-// Add returns both news, with the later slowdown.
+// Add returns both news, with the later slowdown and limit.
 func (n EndpointNews) Add(later EndpointNews) EndpointNews {
 	n.Pace = n.Pace.Add(later.Pace)
 	if later.Slowdown > 0 && !later.SlowdownAt.Before(n.SlowdownAt) {
@@ -92,6 +98,9 @@
 	if later.Replaced != 0 {
 		n.Replaced = later.Replaced
 	}
+	if later.LimitOf != 0 && !later.Limit.At.Before(n.Limit.At) {
+		n.Limit, n.LimitOf = later.Limit, later.LimitOf
+	}
 	return n
 }
 
