direct: tests of what routers tell each other of limits

A limit, its change and its end reach routers that hear nothing from the endpoint, directly and over a relay, and don't hold for another process with its ID; words out of bounds are dropped. They guard against what limits would do at a fleet of any size; not seen to fail, as the code came with the fix.

--- a/direct/limit_test.go
+++ b/direct/limit_test.go
@@ -11,7 +11,12 @@
 	"testing"
 	"time"
 
+	pb "jackdawswitch/api/jackdawv1"
 	"jackdawswitch/catalog"
+	"jackdawswitch/endpointlimit"
+	"jackdawswitch/prepaid"
+	"jackdawswitch/routing"
+	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/standin"
 )
 
@@ -113,3 +118,76 @@
 		t.Errorf("%d requests in %s, want at least half of what the limit allows", got, window)
 	}
 }
+
+// TestProofALimitAndItsEndAreToldToOtherRouters guards against routers that send nothing to an
+// endpoint, hear nothing of its limit, and exceed it or keep to it for too long. Of three
+// routers in two failure domains, one hears the endpoint.
+func TestProofALimitAndItsEndAreToldToOtherRouters(t *testing.T) {
+	network := memnet.New()
+	var routers []*Router
+	for i, domain := range []string{"fd0", "fd1", "fd1"} {
+		r, stop := startPeerRouterIn(t, network, prepaid.ProcessID{VM: fmt.Sprintf("vm%d", i), Incarnation: 1}, domain)
+		defer stop()
+		routers = append(routers, r)
+	}
+	endpoint := catalog.Endpoint{ID: "a", Service: "s", Address: "127.0.0.1:1", Started: 1}
+	for _, r := range routers {
+		r.ReplaceEndpoints([]catalog.Endpoint{endpoint})
+		for _, other := range routers {
+			if other != r {
+				r.peers.add(other.peers.self, other.peers.self.VM, other.peers.member.FailureDomain)
+			}
+		}
+	}
+	restarted := endpoint
+	restarted.Started = 2
+	routers[2].ReplaceEndpoints([]catalog.Endpoint{restarted})
+	for i, streams := range []int{1, 2, 2} {
+		eventually(t, "the routers stream updates", func() bool {
+			routers[i].mu.Lock()
+			defer routers[i].mu.Unlock()
+			return len(routers[i].subscribers) == streams
+		})
+	}
+	heard := func(rate float64) {
+		a := &attempt{sentAt: time.Now(), meta: ResponseMeta{RateLimit: rate, Signed: true}}
+		a.choice.Endpoint = routing.PromptEndpoint{ID: "a", Service: "s", Address: endpoint.Address, Incarnation: 1}
+		time.Sleep(10 * time.Millisecond)
+		routers[0].recordLimit(a)
+	}
+	limitAt := func(i int) float64 {
+		if views := routers[i].limitViews(); len(views) == 1 {
+			return views[0].Rate
+		}
+		return 0
+	}
+	heard(1.7)
+	eventually(t, "the limit arrives", func() bool { return limitAt(1) == 1.7 })
+	heard(3)
+	eventually(t, "the change arrives", func() bool { return limitAt(1) == 3 })
+	if limitAt(2) != 0 {
+		t.Error("the limit of a process holds for the next one of its endpoint")
+	}
+	heard(-1)
+	eventually(t, "the end arrives", func() bool { return limitAt(1) == 0 })
+}
+
+func TestInvalidWordsOfLimitsAreDropped(t *testing.T) {
+	for what, load := range map[string]*pb.EndpointLoad{
+		"no process":         {LimitMilli: 1000},
+		"negative":           {LimitProcess: 1, LimitMilli: -1},
+		"too high":           {LimitProcess: 1, LimitMilli: 1 << 50},
+		"from the future":    {LimitProcess: 1, LimitMilli: 1000, LimitAgeMs: -1},
+		"too old":            {LimitProcess: 1, LimitMilli: 1000, LimitAgeMs: 1, LimitSentAgeMs: 1 << 40},
+		"before it was sent": {LimitProcess: 1, LimitMilli: 1000, LimitAgeMs: 5, LimitSentAgeMs: 4},
+	} {
+		if got := decodeLoad(load).News.LimitOf; got != 0 {
+			t.Errorf("%s: accepted", what)
+		}
+	}
+	word := endpointlimit.Word{Rate: 1.7, At: time.Now(), SentAt: time.Now().Add(-time.Second)}
+	got := decodeLoad(encodeLoad(routing.PeerLoad{Endpoint: "a", News: routing.EndpointNews{Limit: word, LimitOf: 7}})).News
+	if got.LimitOf != 7 || got.Limit.Rate != 1.7 || got.Limit.Ended || got.Limit.At.Sub(word.At).Abs() > time.Second || got.Limit.SentAt.After(got.Limit.At) {
+		t.Errorf("a word was changed on its way: %+v", got)
+	}
+}
