direct: a refused caller gets a time to return also if a place is free now

Cause: a request whose attempts failed at the endpoints with free places was refused with a wait of 0, which is sent as no Retry-After. Evidence: go test ./direct ./endpointlimit -run Limit passes.

--- a/direct/limits.go
+++ b/direct/limits.go
@@ -66,9 +66,12 @@
 
 // hearLimit records what another router heard of an endpoint's limit.
 func (e *endpointSet) hearLimit(now time.Time, from, id string, news routing.EndpointNews) {
+	if news.LimitOf == 0 {
+		return
+	}
 	list := e.notices.list
 	i, found := slices.BinarySearchFunc(list, id, func(l routing.PromptEndpoint, id string) int { return cmp.Compare(l.ID, id) })
-	if news.LimitOf == 0 || !found || processKey(processOf(list[i])) != news.LimitOf {
+	if !found || processKey(processOf(list[i])) != news.LimitOf {
 		return
 	}
 	change := e.limits.Told(now, limitProcess(list[i]), news.Limit)
@@ -98,7 +101,8 @@
 	if r.RetryAfter > 0 && r.RetryAfter < wait {
 		return r
 	}
-	return r.WithRetryAfter(wait)
+	// A place may be free now at an endpoint that failed this request.
+	return r.WithRetryAfter(max(wait, minShedRetryAfter))
 }
 
 // expire forgets limits that ended and updates the gauge.
--- a/direct/places.go
+++ b/direct/places.go
@@ -304,8 +304,8 @@
 	r.fleetKnowledge.setUnavailable(time.Now(), unavailable)
 }
 
-// updateSendingFleet divides the rates of cold and limited endpoints again if the fleet has changed. A
-// draining router sends nothing to them, as the others take over its part. Only
+// updateSendingFleet divides the rates of cold and limited endpoints again if the fleet has
+// changed. A draining router sends nothing to them, as the others take over its part. Only
 // assignAccounts calls it.
 func (r *Router) updateSendingFleet() {
 	k := &r.fleetKnowledge
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -160,9 +160,9 @@
 	return nil
 }
 
-// admit checks the quarantines of requests and prompt parts, counts the request for the retry budget, sets the
-// write deadline and reserves the largest number of prepaid tokens that the request
-// may use. Its error is a *refusal.Error.
+// admit checks the quarantines of requests and prompt parts, counts the request for the
+// retry budget, sets the write deadline and reserves the largest number of prepaid tokens
+// that the request may use. Its error is a *refusal.Error.
 func (x *exchange) admit(ctx context.Context) error {
 	r := x.router
 	if err := x.checkQuarantine(); err != nil {
