quarantine: the trial of a part is forgotten with it

What would be seen: memory that grows by an entry for each part that was ever let pass as a trial and expired. Cause: trials were kept in a map of their own, which only a release cleared. Change: the last slot is a field of the suspect, which is bounded. Evidence: the package's tests pass, those of trials and of retention among them.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -118,10 +118,11 @@
 	answeredMS int64
 	// crashes are the crashes since the last answer, sorted by time.
 	crashes []crash
-	// quarantined is set while the part is in a group. refused is the number of requests that
-	// this router refused with the part as the first of a group.
+	// quarantined is set while the part is in a group. As the first of its group, it has the
+	// number of requests that this router refused, and the last slot in which it let one pass.
 	quarantined bool
 	refused     int
+	trialSlot   int64
 }
 
 // group is a group of quarantined parts. A request is refused if it has all of them. The
@@ -155,9 +156,6 @@
 type Parts struct {
 	suspects map[string]*suspect
 	groups   []group
-	// trials holds the last slot in which this router let a request pass, by the first part
-	// of its group.
-	trials map[string]int64
 	// answered and answeredBefore hold the time of the last answer that this router saw,
 	// by part: two generations, of which the older one is dropped when the other is full.
 	answered, answeredBefore map[string]int64
@@ -165,7 +163,7 @@
 
 // New returns a Parts that knows of no crash.
 func New() *Parts {
-	return &Parts{suspects: make(map[string]*suspect), trials: make(map[string]int64), answered: make(map[string]int64)}
+	return &Parts{suspects: make(map[string]*suspect), answered: make(map[string]int64)}
 }
 
 // Key returns the key of the part with an ID.
@@ -205,11 +203,11 @@
 		}
 		decision = Decision{Parts: g, Crashes: len(s.crashes), LastMS: s.lastMS(), UntilMS: s.lastMS() + Retention.Milliseconds()}
 		slot := (nowMS - s.lastMS()) / s.trialInterval().Milliseconds()
-		if slot <= 0 || slot == p.trials[g[0]] || !owns(g[0], slot) {
+		if slot <= 0 || slot == s.trialSlot || !owns(g[0], slot) {
 			s.refused++
 			return decision
 		}
-		p.trials[g[0]], decision.Trial = slot, true
+		s.trialSlot, decision.Trial = slot, true
 	}
 	return decision
 }
@@ -396,8 +394,7 @@
 	for part := range was {
 		if s := p.suspects[part]; !s.quarantined {
 			released = append(released, Release{Part: part, Refused: s.refused})
-			s.refused = 0
-			delete(p.trials, part)
+			s.refused, s.trialSlot = 0, 0
 		}
 	}
 	slices.SortFunc(released, func(a, b Release) int { return cmp.Compare(a.Part, b.Part) })
