quarantine: an answer that is read before its crashes clears them too

Cause: a router that starts reads the records of all others in the order of their VMs. An answer in one of them was dropped if the crashes that it clears stood in a later one; these then counted. Change: the time of such an answer is remembered, in the bounded memory of answers, and drops the crashes when they are read. Evidence: TestProofRecordsMayBeReadInAnyOrder, all 120 orders of four crashes and an answer: 24 quarantined the part before, none now.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -254,12 +254,12 @@
 	return publish, released
 }
 
-// remember records the last answer to a request with a part.
-func (p *Parts) remember(part string, nowMS int64) {
+// remember records the time of an answer to a request with a part.
+func (p *Parts) remember(part string, atMS int64) {
 	if len(p.answered) >= answersPerGeneration {
 		p.answered, p.answeredBefore = make(map[string]int64), p.answered
 	}
-	p.answered[part] = nowMS
+	p.answered[part] = max(p.answered[part], atMS)
 }
 
 // Suspects returns the given parts with their last answers, without duplicates and at most
@@ -352,7 +352,12 @@
 // are no longer quarantined.
 func (p *Parts) Cleared(a Answer) []Release {
 	s := p.suspects[a.Part]
-	if s == nil || !s.answer(a.AtMS) {
+	switch {
+	case s == nil && len(a.Part) <= maxKeyBytes:
+		// The crashes that it clears may be read later.
+		p.remember(a.Part, a.AtMS)
+		return nil
+	case s == nil || !s.answer(a.AtMS):
 		return nil
 	}
 	return p.decide()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -211,3 +211,37 @@
 		t.Fatalf("reported parts: %+v", got)
 	}
 }
+
+// TestProofRecordsMayBeReadInAnyOrder guards against a restarted router that reads an answer
+// before the crashes that it clears, and refuses a sound part.
+func TestProofRecordsMayBeReadInAnyOrder(t *testing.T) {
+	read := []func(p *Parts){
+		func(p *Parts) { crashAt(p, "a", 1000, "part") },
+		func(p *Parts) { crashAt(p, "b", 2000, "part") },
+		func(p *Parts) { p.Cleared(Answer{Part: "part", AtMS: 2500}) },
+		func(p *Parts) { crashAt(p, "c", 3000, "part") },
+		func(p *Parts) { crashAt(p, "d", 4000, "part") },
+	}
+	orders := 0
+	var permute func(rest []int, order []int)
+	permute = func(rest []int, order []int) {
+		if len(rest) == 0 {
+			orders++
+			p := New()
+			for _, i := range order {
+				read[i](p)
+			}
+			if quarantined(p, 5000, "part") {
+				t.Errorf("quarantined after two crashes since the answer, read in the order %v", order)
+			}
+			return
+		}
+		for i, next := range rest {
+			permute(append(slices.Clone(rest[:i]), rest[i+1:]...), append(slices.Clone(order), next))
+		}
+	}
+	permute([]int{0, 1, 2, 3, 4}, nil)
+	if orders != 120 {
+		t.Fatalf("%d orders", orders)
+	}
+}
