direct: the router record fits into a row whatever crashes it has

What would be seen: after many crashes a router's record isn't stored any more, so that others learn neither of its crashes nor that it leaves.

Cause: this change's own bounds: 200 entries of requests, which now have the time of sending, and 32 crashes with 16 suspects take 70,551 bytes, a row of the platform's store 65,536. Change: the crashes published have at most 256 suspects in all, the latest first. Evidence: TestProofTheLargestRouterRecordFitsIntoARow failed before (70,551 bytes) and passes.

--- a/direct/crashtracker.go
+++ b/direct/crashtracker.go
@@ -19,8 +19,8 @@
 	// after the last crash. It is longer than callers keep retrying a request.
 	crashRetention = 10 * time.Minute
 
-	// maxCrashEntries bounds the entries that one router publishes. At about 140
-	// bytes each they stay well below the 64 KiB limit of a row.
+	// maxCrashEntries bounds the entries that one router publishes. At about 190
+	// bytes each they take 38 KB of a row of 64 KiB.
 	maxCrashEntries = 200
 )
 
--- a/direct/partcrashes.go
+++ b/direct/partcrashes.go
@@ -18,10 +18,11 @@
 )
 
 const (
-	// maxPartCrashes and maxPartAnswers bound what one router publishes of prompt parts: at
-	// most 31 KB and 4 KB of a row of 64 KiB.
-	maxPartCrashes = 32
-	maxPartAnswers = 64
+	// maxPartCrashes, maxPartSuspects and maxPartAnswers bound what one router publishes of
+	// prompt parts. With maxCrashEntries it fits into a row of 64 KiB.
+	maxPartCrashes  = 32
+	maxPartSuspects = 256
+	maxPartAnswers  = 64
 
 	// maxCrashProbes bounds the probes under way, and maxProbedParts the parts that wait for
 	// one.
@@ -230,11 +231,16 @@
 	}
 }
 
-// published returns the crashes and answers to publish, and their version.
+// published returns the latest crashes and answers to publish, and their version.
 func (c *partCrashes) published() (crashes []quarantine.Crash, answers []quarantine.Answer, version uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.crashes[max(len(c.crashes)-maxPartCrashes, 0):]), slices.Clone(c.answers[max(len(c.answers)-maxPartAnswers, 0):]), c.version
+	first, suspects := len(c.crashes), 0
+	for first > max(len(c.crashes)-maxPartCrashes, 0) && suspects+len(c.crashes[first-1].Suspects) <= maxPartSuspects {
+		first--
+		suspects += len(c.crashes[first].Suspects)
+	}
+	return slices.Clone(c.crashes[first:]), slices.Clone(c.answers[max(len(c.answers)-maxPartAnswers, 0):]), c.version
 }
 
 // unsaved reports whether the stored router record lacks a change.
--- a/direct/quarantine_test.go
+++ b/direct/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"jackdawswitch/fuzzseed"
+	"jackdawswitch/quarantine"
 )
 
 // crashBody is a request body that crashes the endpoints of newCrashTestRouter.
@@ -212,3 +214,51 @@
 		}
 	})
 }
+
+// maxRowBytes is the limit of a row in the table service.
+const maxRowBytes = 64 << 10
+
+// storedRecordBytes saves the router's record and returns its size.
+func storedRecordBytes(t *testing.T, g *testRouter) int {
+	t.Helper()
+	entries, _ := g.router.quarantine.snapshot()
+	if err := g.router.saveRouterRecord(context.Background(), entries, false); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := g.table.Get(context.Background(), routerRecordKey("vm"))
+	if err != nil || len(rows) != 1 {
+		t.Fatalf("rows of the router record: %v, error %v", rows, err)
+	}
+	return len(rows[0].Value)
+}
+
+// TestProofTheLargestRouterRecordFitsIntoARow guards against a router whose record is never
+// stored again, as what it publishes of crashes exceeds a row.
+func TestProofTheLargestRouterRecordFitsIntoARow(t *testing.T) {
+	g := newTestRouter(t, 1, func(http.ResponseWriter, *http.Request) {})
+	now := time.Now().UnixMilli()
+	for i := range maxCrashEntries {
+		id := fmt.Sprintf("%016x/i-%010x", i, i)
+		g.router.quarantine.record(crashEntry{Request: fingerprint("w", id, nil), Attempt: id, Endpoint: id[17:], SentMS: now - 1, AtMS: now + int64(i)})
+	}
+	var crashes []quarantine.Crash
+	var answers []quarantine.Answer
+	for i := range maxPartCrashes {
+		crash := quarantine.Crash{Endpoint: fmt.Sprintf("i-%010x", i), AtMS: now + int64(i)}
+		for j := range quarantine.MaxReported {
+			crash.Suspects = append(crash.Suspects, quarantine.Suspect{Part: fmt.Sprintf("%08x%08x", i, j), AnsweredMS: now})
+		}
+		crashes = append(crashes, crash)
+	}
+	for i := range maxPartAnswers {
+		answers = append(answers, quarantine.Answer{Part: fmt.Sprintf("%016x", i), AtMS: now})
+	}
+	g.router.partCrashes.merge(crashes, answers, true)
+	if got := storedRecordBytes(t, g); got > maxRowBytes {
+		t.Errorf("the record has %d bytes, a row at most %d", got, maxRowBytes)
+	}
+	published, _, _ := g.router.partCrashes.published()
+	if last := published[len(published)-1]; last.Endpoint != crashes[len(crashes)-1].Endpoint {
+		t.Errorf("the last crash isn't published but that of %s", last.Endpoint)
+	}
+}
