direct: a caller's long request ID doesn't fill the router record

What would be seen: a few requests with long IDs whose endpoints break off keep a router from storing its record for ten minutes, so that all callers' crashes stay unknown to other routers.

Cause: crash entries carry the caller's request ID as it is, up to the header's limit of 64 KB.

--- a/direct/quarantine.go
+++ b/direct/quarantine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jackdawswitch/claim"
+	"jackdawswitch/quarantine"
 	"jackdawswitch/refusal"
 	"jackdawswitch/routing"
 )
@@ -59,7 +60,8 @@
 	if !a.crashed && (!answered || q.empty()) {
 		return claim.QuarantineDecision{}
 	}
-	entry := crashEntry{Request: x.fingerprint(), Attempt: x.meta.ID + "/" + a.choice.Endpoint.ID, AtMS: q.tableNowMS()}
+	// The caller's ID may be long; entries are published.
+	entry := crashEntry{Request: x.fingerprint(), Attempt: quarantine.Key(x.meta.ID) + "/" + a.choice.Endpoint.ID, AtMS: q.tableNowMS()}
 	entry.SentMS = entry.AtMS - time.Since(a.sentAt).Milliseconds()
 	if !answered {
 		entry.Endpoint = a.choice.Endpoint.ID
--- a/direct/quarantine_test.go
+++ b/direct/quarantine_test.go
@@ -262,3 +262,15 @@
 		t.Errorf("the last crash isn't published but that of %s", last.Endpoint)
 	}
 }
+
+// TestProofLongRequestIDsDontFillTheRouterRecord guards against callers whose long request IDs
+// keep a router from storing its record.
+func TestProofLongRequestIDsDontFillTheRouterRecord(t *testing.T) {
+	g := newCrashTestRouter(t, 3)
+	for i := range 20 {
+		g.send(http.MethodPost, "/book/"+strconv.Itoa(i), crashBody, "T-Id", strings.Repeat("x", 8<<10)+strconv.Itoa(i))
+	}
+	if got := storedRecordBytes(t, g); got > maxRowBytes {
+		t.Errorf("the record has %d bytes, a row at most %d", got, maxRowBytes)
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -166,7 +166,7 @@
 	return &Parts{suspects: make(map[string]*suspect), answered: make(map[string]int64)}
 }
 
-// Key returns the key of the part with an ID.
+// Key returns a key of bounded length for an ID that a caller chose, such as that of a part.
 func Key(id string) string {
 	if len(id) <= maxKeyBytes {
 		return id
