--- a/direct/limit_test.go
+++ b/direct/limit_test.go
@@ -97,8 +97,7 @@
 	group.Wait()
 }
 
-// TestProofAFleetKeepsToTheLimitThatAnEndpointNames guards against routers that together send
-// an endpoint far more requests than the limit in its responses.
+// Each router by itself would keep to the limit.
 func TestProofAFleetKeepsToTheLimitThatAnEndpointNames(t *testing.T) {
 	t.Parallel()
 	const (
@@ -119,9 +118,7 @@
 	}
 }
 
-// TestProofALimitAndItsEndAreToldToOtherRouters guards against routers that send nothing to an
-// endpoint, hear nothing of its limit, and exceed it or keep to it for too long. Of three
-// routers in two failure domains, one hears the endpoint.
+// Of three routers in two failure domains, one hears the endpoint.
 func TestProofALimitAndItsEndAreToldToOtherRouters(t *testing.T) {
 	network := memnet.New()
 	var routers []*Router
--- a/direct/partcrash_test.go
+++ b/direct/partcrash_test.go
@@ -203,8 +203,7 @@
 	return resp.StatusCode
 }
 
-// TestProofAPromptPartThatCrashesEndpointsIsStoppedOnEveryRouter guards against requests
-// that share one part, no two alike, which crash one endpoint after another.
+// The requests share one part, and no two are alike.
 func TestProofAPromptPartThatCrashesEndpointsIsStoppedOnEveryRouter(t *testing.T) {
 	const routers, maxCrashes, maxCrashesAfter = 3, 5, 3
 	for _, route := range []string{"/resumed/", "/stream/", "/read/"} {
@@ -242,8 +241,7 @@
 	}
 }
 
-// TestProofARestartedRouterDoesNotEraseItsPredecessorsCrashes guards against a router that
-// writes its record before it has read that of its predecessor on the VM.
+// The successor writes its record before it has read any.
 func TestProofARestartedRouterDoesNotEraseItsPredecessorsCrashes(t *testing.T) {
 	f := newPartFleet(t, 1, 4)
 	for range 3 {
--- a/direct/quarantine_test.go
+++ b/direct/quarantine_test.go
@@ -82,8 +82,7 @@
 	}
 }
 
-// TestProofOneCrashDoesNotQuarantineItsIdenticalRequests guards against requests that are
-// refused because one crash of an endpoint broke several of them at once.
+// The crash breaks several of them at once.
 func TestProofOneCrashDoesNotQuarantineItsIdenticalRequests(t *testing.T) {
 	const atOnce = 5
 	arrived := make(chan struct{}, atOnce)
@@ -232,8 +231,7 @@
 	return len(rows[0].Value)
 }
 
-// TestProofTheLargestRouterRecordFitsIntoARow guards against a router whose record is never
-// stored again, as what it publishes of crashes exceeds a row.
+// A record that exceeds a row is never stored again.
 func TestProofTheLargestRouterRecordFitsIntoARow(t *testing.T) {
 	g := newTestRouter(t, 1, func(http.ResponseWriter, *http.Request) {})
 	now := time.Now().UnixMilli()
@@ -263,8 +261,7 @@
 	}
 }
 
-// TestProofLongRequestIDsDontFillTheRouterRecord guards against callers whose long request IDs
-// keep a router from storing its record.
+// Callers choose their request IDs.
 func TestProofLongRequestIDsDontFillTheRouterRecord(t *testing.T) {
 	g := newCrashTestRouter(t, 3)
 	for i := range 20 {
--- a/direct/unframed_test.go
+++ b/direct/unframed_test.go
@@ -36,8 +36,7 @@
 	return g
 }
 
-// TestProofAnUnframedStreamWithoutEventsIsNotComplete guards against a crash before the first
-// event that looks like the end of a response without length and chunks.
+// An endpoint that crashes before its first event ends it like this.
 func TestProofAnUnframedStreamWithoutEventsIsNotComplete(t *testing.T) {
 	for body, want := range map[string]int{
 		"":                                http.StatusBadGateway,
--- a/endpointlimit/endpointlimit_test.go
+++ b/endpointlimit/endpointlimit_test.go
@@ -126,9 +126,7 @@
 	return highest
 }
 
-// TestProofALimitHoldsForTheSumOfAllRouters guards against routers that each keep to a limit
-// that is meant for all of them, whichever routers know each other, and against an endpoint
-// that is hardly used.
+// The limit is used as well, whichever routers know each other.
 func TestProofALimitHoldsForTheSumOfAllRouters(t *testing.T) {
 	const lasts = 40 * time.Second
 	for _, n := range []int{1, 2, 4, 25, 103} {
@@ -158,8 +156,7 @@
 	}
 }
 
-// TestProofTheEndOfALimitReachesRoutersWithoutPlaces guards against routers of a large fleet
-// that keep to a limit for long after it ended, as they send the endpoint nothing.
+// Such routers send the endpoint nothing and hear nothing from it.
 func TestProofTheEndOfALimitReachesRoutersWithoutPlaces(t *testing.T) {
 	for _, n := range []int{4, 103} {
 		f := fleet{routers: n, rate: 1.5, view: func(int) []string { return names(0, n) }, tellDelay: 300 * time.Millisecond, endsAt: 10 * time.Second}
@@ -169,8 +166,7 @@
 	}
 }
 
-// TestALimitThatNobodyHearsIsSharedByAll guards against an endpoint that is left alone because
-// the routers that own its places have no requests.
+// The routers that own places have no requests.
 func TestALimitThatNobodyHearsIsSharedByAll(t *testing.T) {
 	const n, lasts = 25, 60 * time.Second
 	l := newTestLimiter(0, names(0, n))
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -212,8 +212,7 @@
 	}
 }
 
-// TestProofRecordsMayBeReadInAnyOrder guards against a restarted router that reads an answer
-// before the crashes that it clears, and refuses a sound part.
+// A restarted router may read an answer before the crashes that it clears.
 func TestProofRecordsMayBeReadInAnyOrder(t *testing.T) {
 	read := []func(p *Parts){
 		func(p *Parts) { crashAt(p, "a", 1000, "part") },
--- a/quarantine/world_test.go
+++ b/quarantine/world_test.go
@@ -251,8 +251,7 @@
 	return n
 }
 
-// TestProofDeadlyPartsAreStoppedAndSoundOnesServed guards against requests with a deadly part
-// that go on crashing endpoints, and against sound requests that are refused for it.
+// Sound requests share the caller and all other parts.
 func TestProofDeadlyPartsAreStoppedAndSoundOnesServed(t *testing.T) {
 	base := world{routers: 4, endpoints: 12, perSecond: 40, share: 0.05, deadly: []string{"deadly"}, docs: 119, attempts: 2}
 	with := func(change func(*world)) world {
