direct, platform: log the software version of endpoints and what a stream resumes

Observability before any change of logic. Logs named neither the version of the endpoint of an attempt nor the stream that a caller takes up, so that a stream with events of two versions couldn't be told from a sound one.

Both are logged with each attempt and result. Nothing is decided by them yet.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -35,6 +35,8 @@
 	// Started is the start time of the incarnation in Unix milliseconds by the wall
 	// clock of the endpoint's VM, which may jump, 0 if unknown.
 	Started int64
+	// Version is the version of the endpoint's software. A stream can't go on at another one.
+	Version string
 	// Slots is the number of requests that the endpoint runs concurrently.
 	Slots int
 	// Leaving is set once the endpoint takes no new requests and only finishes
--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -76,7 +76,7 @@
 	e.places.registered(time.Now(), endpoint)
 	e.recordWritten(endpoint)
 	e.logger.Info("endpoint registered", "endpoint", endpoint.ID, "service", endpoint.Service,
-		"address", endpoint.Address, "started", endpoint.Started, "leaving", endpoint.Leaving)
+		"address", endpoint.Address, "version", endpoint.Version, "started", endpoint.Started, "leaving", endpoint.Leaving)
 }
 
 // RemoveEndpoint records that an endpoint is no longer listed. The catalog drops it,
@@ -150,7 +150,7 @@
 	for _, u := range usable {
 		list = append(list, routing.PromptEndpoint{
 			ID: u.ID, Service: u.Service, Address: u.Address, FailureDomain: u.FailureDomain,
-			Incarnation: u.Started, Slots: u.Slots,
+			Incarnation: u.Started, Version: u.Version, Slots: u.Slots,
 		})
 	}
 	e.picker.SetEndpoints(list)
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -233,7 +233,7 @@
 		level = slog.LevelDebug
 	}
 	x.router.logger.Log(context.Background(), level, "attempt ended", "request", x.meta.ID,
-		"endpoint", a.choice.Endpoint.ID, "address", a.choice.Endpoint.Address,
+		"endpoint", a.choice.Endpoint.ID, "address", a.choice.Endpoint.Address, "version", a.choice.Endpoint.Version,
 		"outcome", a.outcome.String(), "status", a.status, "state", x.progress.state,
 		"events", x.eventCount, "elapsed_ms", time.Since(x.started).Milliseconds(),
 		"open", a.choice.InFlight, "waiting_tokens", a.choice.WaitingTokens, "peer_waiting_tokens", a.choice.PeerWaitingTokens, "unread_tokens", a.choice.UnreadTokens,
--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -36,7 +36,7 @@
 	}
 	return RequestMeta{
 		ID: h.Get("T-Id"), Key: h.Get("T-Key"), PromptTokens: prompt, MaxOutputTokens: output,
-		Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last-Event-Id"),
+		Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last-Event-Id"), Resumes: h.Get("T-Resumes"),
 		Parts: testParts(h.Get("T-Parts")),
 	}, nil
 }
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -23,6 +23,9 @@
 	// LastEventID is the ID of the last event that the caller received; empty for
 	// none.
 	LastEventID string
+	// Resumes is the ID of the request that brought the caller the first event of the stream
+	// that this one takes up; empty for none.
+	Resumes string
 }
 
 // DispatchMeta holds the metadata that the router adds to a request for an endpoint.
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -243,12 +243,15 @@
 	if x.reservation.tokens > 0 {
 		fields = append(fields, "tokens_reserved", x.reservation.tokens, "tokens_used", x.tokensUsed(), "credit_holder", x.reservation.holder.VM)
 	}
+	if x.resumesStream() {
+		fields = append(fields, "resumes", logged(x.meta.Resumes), "resumes_after", logged(x.meta.LastEventID))
+	}
 	if !x.firstByteAt.IsZero() {
 		fields = append(fields, "first_ms", x.firstByteAt.Sub(x.started).Milliseconds())
 	}
 	if x.lastAttempt != nil {
 		c := x.lastAttempt.choice
-		fields = append(fields, "endpoint", c.Endpoint.ID, "status", x.lastAttempt.status, "open", c.InFlight,
+		fields = append(fields, "endpoint", c.Endpoint.ID, "version", c.Endpoint.Version, "status", x.lastAttempt.status, "open", c.InFlight,
 			"waiting_tokens", c.WaitingTokens, "peer_waiting_tokens", c.PeerWaitingTokens, "unread_tokens", c.UnreadTokens, "reported", c.OtherLoad,
 			"reported_age_ms", c.OtherLoadAge.Milliseconds(), "candidates", c.Candidates,
 			"expected_ms", c.Expected.Milliseconds(), "first_token_ms", x.lastAttempt.firstToken.Milliseconds(),
@@ -264,6 +267,17 @@
 	x.router.logger.Info("request refused", fields...)
 }
 
+// resumesStream reports whether the caller takes up a stream.
+func (x *exchange) resumesStream() bool {
+	return x.route.Streaming && (x.meta.Resumes != "" || x.meta.LastEventID != "")
+}
+
+// maxLoggedBytes bounds a text of a caller in a log line.
+const maxLoggedBytes = 64
+
+// logged returns the part of a caller's text that a log line has.
+func logged(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 func (x *exchange) configVersion() uint64 {
 	if x.config == nil {
 		return 0
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -66,6 +66,8 @@
 	Address       string
 	FailureDomain string
 	Incarnation   int64
+	// Version is the version of the endpoint's software.
+	Version string
 	// Slots is the number of requests that the endpoint runs at once; 0 if unknown.
 	Slots int
 }
