--- /dev/null
+++ b/direct/streamfleet_test.go
@@ -0,0 +1,244 @@
+package direct
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	pb "jackdawswitch/api/jackdawv1"
+	"jackdawswitch/catalog"
+	"jackdawswitch/prepaid"
+	"jackdawswitch/rpc"
+	"jackdawswitch/rpc/memnet"
+	"jackdawswitch/standin"
+)
+
+// streamEvents is the number of events of a stream of a versionedEndpoint.
+const streamEvents = 8
+
+// versionedEndpoint streams events that name its version, and goes on after any event. Its
+// first response to a request that asks for it breaks off after some events.
+type versionedEndpoint struct {
+	version string
+	started int64
+}
+
+func (e *versionedEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("T-Id", r.Header.Get("T-Id"))
+	w.Header().Set("T-Signed", "e")
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	breakAfter, _ := strconv.Atoi(r.Header.Get("T-Break"))
+	for id := last + 1; id <= streamEvents; id++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, e.version)
+		w.(http.Flusher).Flush()
+		if id == breakAfter {
+			time.Sleep(5 * time.Millisecond)
+			resetConnection(w)
+			return
+		}
+	}
+}
+
+// streamRouter is a router of a streamFleet.
+type streamRouter struct {
+	*Router
+	id     prepaid.ProcessID
+	host   *memnet.Host
+	server *httptest.Server
+	stop   func()
+}
+
+// streamFleet is a fleet of routers that share endpoints of several versions.
+type streamFleet struct {
+	t           *testing.T
+	network     *memnet.Network
+	table       *standin.Table
+	endpoints   []catalog.Endpoint
+	incarnation int64
+	nextID      int
+
+	mu      sync.Mutex
+	routers []*streamRouter
+}
+
+func newStreamFleet(t *testing.T, routers int, versions ...string) *streamFleet {
+	t.Helper()
+	f := &streamFleet{t: t, network: memnet.New(), table: standin.NewTable()}
+	for i, version := range versions {
+		f.endpoints = append(f.endpoints, f.startEndpoint(fmt.Sprintf("e%d", i), version, 1))
+	}
+	for i := range routers {
+		f.routers = append(f.routers, nil)
+		f.startRouter(i)
+	}
+	t.Cleanup(func() {
+		for _, r := range f.routers {
+			r.stop()
+		}
+	})
+	return f
+}
+
+// startEndpoint starts an endpoint and returns its registration.
+func (f *streamFleet) startEndpoint(id, version string, started int64) catalog.Endpoint {
+	server := httptest.NewServer(&versionedEndpoint{version: version, started: started})
+	f.t.Cleanup(server.Close)
+	return catalog.Endpoint{
+		ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "fd", Version: version, Started: started,
+	}
+}
+
+// startRouter starts a router process on the VM of an index, and makes it and the others known
+// to each other.
+func (f *streamFleet) startRouter(i int) {
+	f.t.Helper()
+	f.incarnation++
+	vm := fmt.Sprintf("vm%d", i)
+	r := &streamRouter{id: prepaid.ProcessID{VM: vm, Incarnation: f.incarnation}, host: f.network.Host(vm)}
+	r.Router = New(Options{
+		Settings: Settings{VM: vm, FailureDomain: "fd", PeerAddress: vm, MaxRetryShare: 0.2, MaxRetryBurst: 1000}, Incarnation: f.incarnation,
+		Network: r.host, Protocol: testProtocol{}, Table: f.table, Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
+	})
+	r.ReplaceEndpoints(f.endpoints)
+	cfg := testConfig()
+	cfg.Document.Register.Lots = nil
+	cfg.Routes[3].MaxEndpoints = 4
+	r.ApplyConfig(cfg)
+	listener, err := r.host.Listen(vm)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	peerServers := rpc.NewServer()
+	if err := pb.DRPCRegisterRouterPeer(peerServers.Mux(), peerServer{r.peers}); err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { _ = peerServers.Serve(ctx, listener) })
+	tasks.Go(func() { r.publishRouterRecord(ctx) })
+	tasks.Go(func() { r.expireEndpoints(ctx) })
+	r.server = httptest.NewServer(r.Router)
+	r.stop = sync.OnceFunc(func() {
+		r.server.CloseClientConnections()
+		r.host.Kill()
+		cancel()
+		tasks.Wait()
+		r.server.Close()
+	})
+	f.mu.Lock()
+	f.routers[i] = r
+	f.mu.Unlock()
+	f.exchangeRecords()
+}
+
+// exchangeRecords waits until each router has stored its record, and lets each read all.
+func (f *streamFleet) exchangeRecords() {
+	f.t.Helper()
+	for i, r := range f.routers {
+		if r == nil {
+			continue
+		}
+		eventually(f.t, "the router record is stored", func() bool {
+			record, err := decodeRouterRecord(r.id.VM, f.record(i))
+			return err == nil && record.Incarnation == r.id.Incarnation && !r.recordDue()
+		})
+	}
+	for _, r := range f.routers {
+		for i, other := range f.routers {
+			if r != nil && other != nil {
+				r.MergeRouterRecord(other.id.VM, f.record(i))
+			}
+		}
+		if r != nil {
+			r.RouterRecordsListed(0)
+		}
+	}
+}
+
+// record returns the stored router record of a VM.
+func (f *streamFleet) record(i int) []byte {
+	rows, err := f.table.Get(context.Background(), routerRecordKey(fmt.Sprintf("vm%d", i)))
+	if err != nil || len(rows) == 0 {
+		return nil
+	}
+	return rows[0].Value
+}
+
+// kill ends the process of a router and all its connections at once.
+func (f *streamFleet) kill(i int) { f.routers[i].stop() }
+
+// callerStream is what a caller has received of a stream.
+type callerStream struct {
+	// first is the ID of the request that brought the first event.
+	first string
+	// versions are the versions of the events received.
+	versions []string
+	status   int
+	complete bool
+}
+
+// request sends a request for a stream to a router, and adds the events to what the caller has.
+// With breakAfter above 0, the first endpoint breaks off after that event; with leaveAfter, the
+// caller's connection does.
+func (f *streamFleet) request(router int, s *callerStream, breakAfter, leaveAfter int) {
+	f.t.Helper()
+	f.nextID++
+	id := "r" + strconv.Itoa(f.nextID)
+	ctx, cancel := context.WithCancel(f.t.Context())
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.routers[router].server.URL+"/resumed/a", strings.NewReader(""))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("T-Id", id)
+	req.Header.Set("T-Key", testKey)
+	// Each request prefers another endpoint.
+	req.Header.Set("T-Prompt", "2")
+	req.Header.Set("T-Parts", id+",own")
+	req.Header.Set("T-Break", strconv.Itoa(breakAfter))
+	if len(s.versions) > 0 {
+		req.Header.Set("Last-Event-Id", strconv.Itoa(len(s.versions)))
+		req.Header.Set("T-Resumes", s.first)
+	}
+	s.status, s.complete = 0, false
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if s.status = resp.StatusCode; s.status != http.StatusOK {
+		return
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if version, ok := strings.CutPrefix(lines.Text(), "data: "); ok {
+			if len(s.versions) == 0 {
+				s.first = id
+			}
+			s.versions = append(s.versions, version)
+			if len(s.versions) == leaveAfter {
+				return
+			}
+		}
+	}
+	s.complete = lines.Err() == nil && len(s.versions) == streamEvents
+}
+
+// mixed reports whether the events are of several versions.
+func (s *callerStream) mixed() bool { return len(slices.Compact(slices.Clone(s.versions))) > 1 }
+
+// settle waits until routers have told each other of the streams that began.
+func (f *streamFleet) settle() { time.Sleep(200 * time.Millisecond) }
