direct, routing: a stream goes on only at the version that began it

What callers saw: streams whose events come from two software versions of a service, which don't fit together (ORDER).

Cause: nothing bound a stream to a version. A router chose the endpoint at which a broken stream goes on by cost alone, and nothing read Resumes, by which a caller names the stream that it takes up. Class of fault: work that goes on elsewhere without what it depends on.

Change: the first event binds a request to its endpoint's version, and the choice of an endpoint leaves out the others. While a service has several versions, two other routers keep each stream's origin; they are the first ones in an order by the stream's key, so that any router finds them without knowing which one began the stream. A router that a caller comes to asks the first six. A service with one version tells and asks nothing: the records of routers name the versions listed lately, so that also routers that restart know that there was one only. Origins of streams in flight are told when a second version comes. While the list can't be read, or an endpoint was unreachable, the start of its process proves its version (the endpoint's report). Who can't know refuses at once with 503, not run, before credit is reserved: cause stream_origin_unknown.

Why it works: an origin is known for certain (kept, told, or the only version there was) or the request isn't sent.

The test harness gave a router too few retries for 30 broken streams (a share of 0.2); it is 2 now. Each request has a body of its own, as the quarantine of requests took those that broke off for one that crashes endpoints.

--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -83,7 +83,7 @@
 	incarnation := rand.Int64()
 	router := direct.New(direct.Options{
 		Settings: set.Router, Incarnation: incarnation, Network: rpc.TCP{}, Protocol: platform.Headers{},
-		Table: store, TableCaller: store, Logger: logger, Metrics: metrics.Scope,
+		Table: store, TableCaller: store, Starts: platform.NewReports(), Logger: logger, Metrics: metrics.Scope,
 	})
 	store.RelayThrough(router)
 	logger.Info("started", "vm", set.Router.VM, "failure_domain", set.Router.FailureDomain,
--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -1,13 +1,16 @@
 package direct
 
 import (
+	"cmp"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"jackdawswitch/catalog"
+	"jackdawswitch/endpointnotice"
 	"jackdawswitch/prepaid"
 	"jackdawswitch/routing"
 )
@@ -37,6 +40,9 @@
 	places      *places
 	notices     *notices
 	limits      *limits
+	proofs      processProofs
+	// useEndpoints is called with the usable endpoints when they changed; nil for none.
+	useEndpoints func(now time.Time, list []routing.PromptEndpoint)
 }
 
 func newEndpointSet(failureDomain string, logger *slog.Logger) *endpointSet {
@@ -49,6 +55,7 @@
 		peerReports: make(map[string]peerReport),
 		places:      newPlaces(Settings{}, logger, tally.NoopScope),
 		limits:      newLimits("", logger, tally.NoopScope),
+		proofs:      newProcessProofs(),
 	}
 	e.useNotices(newNotices(logger))
 	return e
@@ -93,6 +100,7 @@
 func (e *endpointSet) SetEndpointSourceUnavailable(unavailable bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.proofs.sourceUnavailable = unavailable
 	if unavailable {
 		e.catalog.MarkSourceUnavailable()
 		return
@@ -123,6 +131,7 @@
 			"address", endpoint.Address, "reason", "still listed; its wall clock was set back, or the list was restored and it runs")
 	}
 	e.notices.expire(time.Now())
+	e.proofs.expire(time.Now(), e.isListed)
 	e.dropStalePeerLoads(time.Now())
 	e.repeatReports(time.Now())
 	e.places.expire(time.Now())
@@ -155,6 +164,23 @@
 	}
 	e.picker.SetEndpoints(list)
 	e.notices.setListed(list)
+	if e.useEndpoints != nil {
+		e.useEndpoints(time.Now(), list)
+	}
+}
+
+// isListed reports whether a process is listed as usable. The caller holds e.mu.
+func (e *endpointSet) isListed(of endpointnotice.Endpoint) bool {
+	i, found := slices.BinarySearchFunc(e.notices.list, of.ID, func(l routing.PromptEndpoint, id string) int { return cmp.Compare(l.ID, id) })
+	return found && processOf(e.notices.list[i]) == of
+}
+
+// cancelPick takes back the choice of an endpoint to which the request isn't sent.
+func (e *endpointSet) cancelPick(choice routing.PromptChoice) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.picker.Ended(choice, false)
+	e.reportLoad(time.Now(), choice)
 }
 
 // hasEndpointList reports whether a list of endpoints has been received.
@@ -230,6 +256,9 @@
 		e.reportLoad(now, choice)
 	}
 	id := choice.Endpoint.ID
+	if a.unreachable {
+		e.recordUnreachable(choice.Endpoint)
+	}
 	// The load in the head of a stream is old at its end, and of an endpoint that tells its
 	// slowdown the unread tokens and the pace are known better.
 	if a.meta.Load >= 0 && (a.stream == nil || a.meta.Slowdown == 0) {
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -12,6 +12,7 @@
 
 	"jackdawswitch/refusal"
 	"jackdawswitch/routing"
+	"jackdawswitch/streamorigin"
 )
 
 // exchange is the handling of one request of a caller, up to its response.
@@ -59,6 +60,11 @@
 	// firstByteAt is when the first event, or a response that is not a stream, was
 	// written.
 	firstByteAt time.Time
+	// origin is the version that began the stream, and bound is set once it is determined: by
+	// the first event, or by the stream that the caller takes up. proven is set if it is
+	// certain; see mayResume.
+	origin        streamorigin.Origin
+	bound, proven bool
 	// reservation is the credit reserved for the request. mayHaveRun is set when an
 	// endpoint may have run the request, so that its prompt tokens are charged.
 	reservation reservation
@@ -69,7 +75,7 @@
 func (x *exchange) pickerQuery() routing.PromptQuery {
 	return routing.PromptQuery{
 		Service: x.service, Parts: x.meta.Parts, PromptTokens: x.meta.PromptTokens, Exclude: x.excluded,
-		TargetLatency: x.route.TargetLatency, Random: rand.Uint64(),
+		Version: x.origin.Version, TargetLatency: x.route.TargetLatency, Random: rand.Uint64(),
 	}
 }
 
@@ -84,6 +90,11 @@
 		if err != nil {
 			return x.giveUpBeforeSending(x.router.addPauseEnd(refusal.FromError(err), x.service))
 		}
+		if x.bound && !x.router.awaitProof(ctx, choice.Endpoint) {
+			x.router.cancelPick(choice)
+			x.excluded = append(x.excluded, choice.Endpoint.ID)
+			continue
+		}
 		x.progress.step(eventSend)
 		x.router.metrics.attempts.Inc(1)
 		a := x.startAttempt(ctx, choice)
@@ -148,7 +159,7 @@
 // maySendAgain reports whether the limits on attempts and retries allow another
 // attempt. The state chart decides whether the state of the request allows it.
 func (x *exchange) maySendAgain(a *attempt) bool {
-	if x.quarantined || a.final {
+	if x.quarantined || a.final || !x.mayResume() {
 		return false
 	}
 	if a.outcome == outcomeNotSent {
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -47,6 +47,8 @@
 type peerRouter struct {
 	id      prepaid.ProcessID
 	address string
+	// hash is the rendezvous hash of its VM.
+	hash uint64
 	// avoidUntil is the time until which it is not chosen as a witness.
 	avoidUntil time.Time
 	// leaving is set if the router is about to stop. It gets no new task then.
@@ -80,6 +82,8 @@
 	// other routers. Both are nil for a router without grants.
 	credit *prepaid.Service
 	lender *lender
+	// streams keeps the origins of streams, also for other routers.
+	streams *streamOrigins
 	// draining reports whether this process is draining, that is, about to stop.
 	draining func() bool
 	// member is this router as a holder of credit.
@@ -139,7 +143,7 @@
 	if last != nil {
 		p.asking.Forget(last.id)
 	}
-	known := &peerRouter{id: id, address: address}
+	known := &peerRouter{id: id, address: address, hash: rendezvous.Hash(id.VM)}
 	if failureDomain != "" {
 		member := prepaid.NewMember(id.VM, failureDomain)
 		known.member = &member
--- a/direct/quarantine_test.go
+++ b/direct/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	"jackdawswitch/fuzzseed"
 	"jackdawswitch/quarantine"
+	"jackdawswitch/routing"
 )
 
 // crashBody is a request body that crashes the endpoints of newCrashTestRouter.
@@ -252,9 +253,18 @@
 		answers = append(answers, quarantine.Answer{Part: fmt.Sprintf("%016x", i), AtMS: now})
 	}
 	g.router.partCrashes.merge(crashes, answers, true)
+	var list []routing.PromptEndpoint
+	for i := range 1000 {
+		list = append(list, routing.PromptEndpoint{Service: fmt.Sprintf("s-%010x", i), Version: "v1"})
+	}
+	g.router.streams.setEndpoints(time.Now(), list)
+	g.router.streams.setEndpoints(time.Now(), nil)
 	if got := storedRecordBytes(t, g); got > maxRowBytes {
 		t.Errorf("the record has %d bytes, a row at most %d", got, maxRowBytes)
 	}
+	if versions, inPart, _ := g.router.streams.published(now); !inPart || len(versions) == 0 {
+		t.Errorf("%d versions are published, in part: %v", len(versions), inPart)
+	}
 	published, _, _ := g.router.partCrashes.published()
 	if last := published[len(published)-1]; last.Endpoint != crashes[len(crashes)-1].Endpoint {
 		t.Errorf("the last crash isn't published but that of %s", last.Endpoint)
--- a/direct/replaced.go
+++ b/direct/replaced.go
@@ -74,6 +74,7 @@
 // recordWritten ends the bar of an endpoint whose entry was written again.
 func (e *endpointSet) recordWritten(endpoint catalog.Endpoint) {
 	process := endpointnotice.Endpoint{ID: endpoint.ID, Address: endpoint.Address, Started: endpoint.Started}
+	e.proofs.written(process, endpoint.Written)
 	if e.notices.RecordWritten(time.Now(), process, endpoint.Written) {
 		e.logger.Info("endpoint found replaced is registered again; it gets requests", "endpoint", endpoint.ID, "address", endpoint.Address)
 	}
--- a/direct/router.go
+++ b/direct/router.go
@@ -46,6 +46,10 @@
 	// routers are dropped.
 	endpointExpiryInterval = 100 * time.Millisecond
 
+	// streamExpiryInterval is how often the origins of streams that can't be taken up any more
+	// are dropped.
+	streamExpiryInterval = 2 * time.Second
+
 	// balancerDelay is how long the load balancer may still send new connections
 	// after the process became unready: two health checks of a second each, with
 	// some margin.
@@ -79,8 +83,10 @@
 	Table    prepaid.Table
 	// TableCaller makes calls to the table service for other routers; nil for none.
 	TableCaller TableCaller
-	Logger      *slog.Logger
-	Metrics     tally.Scope
+	// Starts asks endpoints for the start of their processes; nil if they don't tell it.
+	Starts  StartReader
+	Logger  *slog.Logger
+	Metrics tally.Scope
 }
 
 // Router is a router process for endpoints that are reached without agents.
@@ -104,6 +110,8 @@
 	// partCrashes does so for requests that share prompt parts which crash endpoints.
 	partCrashes *partCrashes
 	peers       *peers
+	// streams keeps the versions that began streams.
+	streams *streamOrigins
 	// fleetKnowledge decides whether this router may send to cold endpoints.
 	fleetKnowledge fleetKnowledge
 	// config is nil until the first configuration is applied; applyMu serializes the
@@ -136,6 +144,8 @@
 	self := prepaid.ProcessID{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
 	r.peers = newPeers(self, opts.Settings.FailureDomain, opts.Network, r.endpointSet, r.draining.Load, opts.Logger)
 	r.peers.tableCaller = opts.TableCaller
+	r.streams = newStreamOrigins(newOriginTeller(r.peers, opts.Logger, opts.Metrics), opts.Metrics)
+	r.peers.streams, r.useEndpoints = r.streams, r.streams.setEndpoints
 	r.credit = prepaid.NewService(prepaid.Options{
 		VM: self.VM, Incarnation: self.Incarnation, Policy: prepaid.DefaultPolicy(),
 		Table: opts.Table, Witnesses: r.peers, Others: r.peers, Logger: opts.Logger, Metrics: opts.Metrics,
@@ -202,6 +212,7 @@
 	tasks.Go(func() { r.publishRouterRecord(taskCtx) })
 	tasks.Go(func() { r.servePeers(taskCtx, peerListener) })
 	tasks.Go(func() { r.sendLoadUpdates(taskCtx) })
+	tasks.Go(func() { r.streams.teller.run(taskCtx) })
 	select {
 	case err = <-failed:
 		r.logger.Error("HTTP listener failed, stopping", "error", err.Error())
@@ -282,10 +293,15 @@
 func (r *Router) expireEndpoints(ctx context.Context) {
 	ticker := time.NewTicker(endpointExpiryInterval)
 	defer ticker.Stop()
+	var streamsExpired time.Time
 	for {
 		select {
 		case <-ticker.C:
 			r.expire()
+			if now := time.Now(); now.Sub(streamsExpired) >= streamExpiryInterval {
+				streamsExpired = now
+				r.streams.expire(now)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -365,6 +381,10 @@
 	Cold      []coldstart.View  `json:"cold"`
 	// Limits are the limits that endpoints named.
 	Limits []endpointlimit.View `json:"limits"`
+	// Versions are the versions of services that count for streams, and StreamOrigins is the
+	// number of streams whose version is kept.
+	Versions      []recordedVersion `json:"versions"`
+	StreamOrigins int               `json:"streamOrigins"`
 	// QuarantinedParts are the prompt parts that crashed endpoints.
 	QuarantinedParts []quarantine.Status `json:"quarantinedParts"`
 }
@@ -380,6 +400,8 @@
 	}
 	d.Evacuated, d.Cold = r.placeViews()
 	d.Limits = r.limitViews()
+	d.Versions, _, _ = r.streams.published(r.quarantine.tableNowMS())
+	d.StreamOrigins = r.streams.count()
 	if cfg := r.config.Load(); cfg != nil {
 		d.ConfigVersion = cfg.version
 	}
--- a/direct/routerrecord.go
+++ b/direct/routerrecord.go
@@ -41,6 +41,10 @@
 	// caused them, and PartAnswers the answers that clear such parts.
 	PartCrashes []quarantine.Crash  `json:"partCrashes,omitempty"`
 	PartAnswers []quarantine.Answer `json:"partAnswers,omitempty"`
+	// Versions are the versions of services that the router lists or listed lately.
+	Versions []recordedVersion `json:"versions,omitempty"`
+	// VersionsInPart is set if there are more than the record holds.
+	VersionsInPart bool `json:"versionsInPart,omitempty"`
 	// Era is the era of the table service in which the record was written, and how far the
 	// router has checked its accounts in it.
 	Era prepaid.EraProgress `json:"era,omitzero"`
@@ -106,6 +110,9 @@
 	own := vm == r.opts.Settings.VM
 	r.quarantine.merge(record.Crashes, own)
 	r.partCrashes.merge(record.PartCrashes, record.PartAnswers, own)
+	if !own || record.Incarnation != r.opts.Incarnation {
+		r.streams.merge(r.quarantine.tableNowMS(), record)
+	}
 }
 
 // publishRouterRecord saves this router's record at the start, whenever its crash entries
@@ -122,7 +129,7 @@
 			r.partCrashes.expire(r.quarantine.tableNowMS())
 		}
 		leaving := r.draining.Load()
-		if entries, unsaved := r.quarantine.snapshot(); unsaved || r.partCrashes.unsaved() || r.recordDue() || leaving != savedLeaving {
+		if entries, unsaved := r.quarantine.snapshot(); unsaved || r.partCrashes.unsaved() || r.streams.unsaved() || r.recordDue() || leaving != savedLeaving {
 			err := r.saveRouterRecord(ctx, entries, leaving)
 			if err == nil {
 				savedLeaving = leaving
@@ -148,6 +155,7 @@
 	}
 	r.quarantine.merge(record.Crashes, true)
 	r.partCrashes.merge(record.PartCrashes, record.PartAnswers, true)
+	r.streams.merge(r.quarantine.tableNowMS(), record)
 	return true
 }
 
@@ -177,10 +185,11 @@
 	}
 	era := r.credit.Progress()
 	partCrashes, partAnswers, partVersion := r.partCrashes.published()
+	versions, inPart, change := r.streams.published(r.quarantine.tableNowMS())
 	value, err := json.Marshal(routerRecord{
 		Incarnation: r.opts.Incarnation, Address: r.opts.Settings.PeerAddress,
 		FailureDomain: r.opts.Settings.FailureDomain, Leaving: leaving, Crashes: crashes, Era: era,
-		PartCrashes: partCrashes, PartAnswers: partAnswers,
+		PartCrashes: partCrashes, PartAnswers: partAnswers, Versions: versions, VersionsInPart: inPart,
 	})
 	if err != nil {
 		return errors.WithStack(err)
@@ -199,5 +208,6 @@
 	}
 	r.quarantine.markSaved(crashes)
 	r.partCrashes.markSaved(partVersion)
+	r.streams.markSaved(change)
 	return nil
 }
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -84,7 +85,7 @@
 	if err := x.checkOverload(); err != nil {
 		return err
 	}
-	x.service = route.pickService(meta.ID)
+	x.service = route.pickService(cmp.Or(meta.Resumes, meta.ID))
 	x.rank = x.config.rank(x.workspace, route)
 	x.progress = newProgress(route)
 	x.deadline = x.started.Add(x.timeout())
@@ -171,6 +172,9 @@
 	if err := x.checkParts(); err != nil {
 		return err
 	}
+	if err := x.bindOrigin(ctx); err != nil {
+		return err
+	}
 	r.retries.recordRequest(x.service)
 	if err := x.responseController().SetWriteDeadline(x.deadline.Add(writeSlack)); err != nil {
 		return refusal.NotRun(refusal.CauseInternal, "no write deadline").WithError(err)
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -106,6 +106,7 @@
 	}
 	if a.outcome == outcomeAnswered {
 		x.sendHead(a)
+		x.endStream()
 		x.progress.step(eventEnd)
 	}
 }
@@ -164,6 +165,7 @@
 		return
 	}
 	x.headSent = true
+	x.beginStream(a)
 	header := x.writer.Header()
 	for name, values := range x.router.opts.Protocol.CallerHeaders(a.header) {
 		header[name] = values
--- a/direct/streamfleet_test.go
+++ b/direct/streamfleet_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,21 +28,29 @@
 // streamEvents is the number of events of a stream of a versionedEndpoint.
 const streamEvents = 8
 
-// versionedEndpoint streams events that name its version, and goes on after any event. Its
-// first response to a request that asks for it breaks off after some events.
+// versionedEndpoint streams events that name its version, and goes on after any event. It breaks
+// off after an event that the request names.
 type versionedEndpoint struct {
+	process atomic.Pointer[endpointProcess]
+	runs    atomic.Int64
+}
+
+// endpointProcess is what one start of a versionedEndpoint is.
+type endpointProcess struct {
 	version string
 	started int64
 }
 
 func (e *versionedEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.runs.Add(1)
+	version := e.process.Load().version
 	w.Header().Set("T-Id", r.Header.Get("T-Id"))
 	w.Header().Set("T-Signed", "e")
 	w.Header().Set("Content-Type", "text/event-stream")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	breakAfter, _ := strconv.Atoi(r.Header.Get("T-Break"))
 	for id := last + 1; id <= streamEvents; id++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, e.version)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, version)
 		w.(http.Flusher).Flush()
 		if id == breakAfter {
 			time.Sleep(5 * time.Millisecond)
@@ -54,10 +63,23 @@
 // streamRouter is a router of a streamFleet.
 type streamRouter struct {
 	*Router
-	id     prepaid.ProcessID
-	host   *memnet.Host
-	server *httptest.Server
-	stop   func()
+	id      prepaid.ProcessID
+	host    *memnet.Host
+	server  *httptest.Server
+	stop    func()
+	stopped atomic.Bool
+	// metrics are of this process.
+	metrics tally.TestScope
+}
+
+// count returns the sum of a counter over its tags.
+func (r *streamRouter) count(name string) (n int64) {
+	for _, c := range r.metrics.Snapshot().Counters() {
+		if c.Name() == name {
+			n += c.Value()
+		}
+	}
+	return n
 }
 
 // streamFleet is a fleet of routers that share endpoints of several versions.
@@ -66,6 +88,7 @@
 	network     *memnet.Network
 	table       *standin.Table
 	endpoints   []catalog.Endpoint
+	served      map[string]*versionedEndpoint
 	incarnation int64
 	nextID      int
 
@@ -75,9 +98,9 @@
 
 func newStreamFleet(t *testing.T, routers int, versions ...string) *streamFleet {
 	t.Helper()
-	f := &streamFleet{t: t, network: memnet.New(), table: standin.NewTable()}
+	f := &streamFleet{t: t, network: memnet.New(), table: standin.NewTable(), served: make(map[string]*versionedEndpoint)}
 	for i, version := range versions {
-		f.endpoints = append(f.endpoints, f.startEndpoint(fmt.Sprintf("e%d", i), version, 1))
+		f.endpoints = append(f.endpoints, f.startEndpoint(fmt.Sprintf("e%d", i), version))
 	}
 	for i := range routers {
 		f.routers = append(f.routers, nil)
@@ -92,11 +115,34 @@
 }
 
 // startEndpoint starts an endpoint and returns its registration.
-func (f *streamFleet) startEndpoint(id, version string, started int64) catalog.Endpoint {
-	server := httptest.NewServer(&versionedEndpoint{version: version, started: started})
+func (f *streamFleet) startEndpoint(id, version string) catalog.Endpoint {
+	e := &versionedEndpoint{}
+	e.process.Store(&endpointProcess{version: version, started: 1})
+	server := httptest.NewServer(e)
 	f.t.Cleanup(server.Close)
-	return catalog.Endpoint{
-		ID: id, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "fd", Version: version, Started: started,
+	address := strings.TrimPrefix(server.URL, "http://")
+	f.served[address] = e
+	return catalog.Endpoint{ID: id, Service: "s", Address: address, FailureDomain: "fd", Version: version, Started: 1}
+}
+
+// ProcessStart implements StartReader.
+func (f *streamFleet) ProcessStart(_ context.Context, address string) (int64, error) {
+	return f.served[address].process.Load().started, nil
+}
+
+// totalRuns returns the number of requests that reached the endpoints.
+func (f *streamFleet) totalRuns() (n int64) {
+	for _, e := range f.served {
+		n += e.runs.Load()
+	}
+	return n
+}
+
+// list replaces the endpoints, also at the routers.
+func (f *streamFleet) list(endpoints ...catalog.Endpoint) {
+	f.endpoints = endpoints
+	for _, r := range f.routers {
+		r.ReplaceEndpoints(endpoints)
 	}
 }
 
@@ -106,10 +152,10 @@
 	f.t.Helper()
 	f.incarnation++
 	vm := fmt.Sprintf("vm%d", i)
-	r := &streamRouter{id: prepaid.ProcessID{VM: vm, Incarnation: f.incarnation}, host: f.network.Host(vm)}
+	r := &streamRouter{id: prepaid.ProcessID{VM: vm, Incarnation: f.incarnation}, host: f.network.Host(vm), metrics: tally.NewTestScope("", nil)}
 	r.Router = New(Options{
-		Settings: Settings{VM: vm, FailureDomain: "fd", PeerAddress: vm, MaxRetryShare: 0.2, MaxRetryBurst: 1000}, Incarnation: f.incarnation,
-		Network: r.host, Protocol: testProtocol{}, Table: f.table, Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
+		Settings: Settings{VM: vm, FailureDomain: "fd", PeerAddress: vm, MaxRetryShare: 2}, Incarnation: f.incarnation,
+		Network: r.host, Protocol: testProtocol{}, Table: f.table, Logger: slog.New(slog.DiscardHandler), Metrics: r.metrics, Starts: f,
 	})
 	r.ReplaceEndpoints(f.endpoints)
 	cfg := testConfig()
@@ -129,8 +175,10 @@
 	tasks.Go(func() { _ = peerServers.Serve(ctx, listener) })
 	tasks.Go(func() { r.publishRouterRecord(ctx) })
 	tasks.Go(func() { r.expireEndpoints(ctx) })
+	tasks.Go(func() { r.streams.teller.run(ctx) })
 	r.server = httptest.NewServer(r.Router)
 	r.stop = sync.OnceFunc(func() {
+		r.stopped.Store(true)
 		r.server.CloseClientConnections()
 		r.host.Kill()
 		cancel()
@@ -147,7 +195,7 @@
 func (f *streamFleet) exchangeRecords() {
 	f.t.Helper()
 	for i, r := range f.routers {
-		if r == nil {
+		if r == nil || r.stopped.Load() {
 			continue
 		}
 		eventually(f.t, "the router record is stored", func() bool {
@@ -198,7 +246,7 @@
 	id := "r" + strconv.Itoa(f.nextID)
 	ctx, cancel := context.WithCancel(f.t.Context())
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.routers[router].server.URL+"/resumed/a", strings.NewReader(""))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.routers[router].server.URL+"/resumed/a", strings.NewReader(id))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -240,5 +288,15 @@
 // mixed reports whether the events are of several versions.
 func (s *callerStream) mixed() bool { return len(slices.Compact(slices.Clone(s.versions))) > 1 }
 
+// restartAll ends all router processes at once and starts them again.
+func (f *streamFleet) restartAll() {
+	for i := range f.routers {
+		f.kill(i)
+	}
+	for i := range f.routers {
+		f.startRouter(i)
+	}
+}
+
 // settle waits until routers have told each other of the streams that began.
 func (f *streamFleet) settle() { time.Sleep(200 * time.Millisecond) }
--- a/direct/streamversion_test.go
+++ b/direct/streamversion_test.go
@@ -1,6 +1,21 @@
 package direct
 
-import "testing"
+import (
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "jackdawswitch/api/jackdawv1"
+	"jackdawswitch/catalog"
+	"jackdawswitch/prepaid"
+	"jackdawswitch/rpc/memnet"
+	"jackdawswitch/streamorigin"
+)
 
 // The endpoints break off in the middle of each stream.
 func TestProofAStreamGoesOnAtItsVersionWithinOneAnswer(t *testing.T) {
@@ -41,3 +56,202 @@
 		t.Errorf("%d of %d streams went on, want at least half", wentOn, streams)
 	}
 }
+
+// Four of eight routers die in one moment.
+func TestProofStreamsGoOnWhenHalfOfTheRoutersDie(t *testing.T) {
+	const routers, streams = 8, 160
+	f := newStreamFleet(t, routers, "v1", "v2", "v1", "v2")
+	begun := make([]callerStream, streams)
+	for i := range begun {
+		f.request(i%routers, &begun[i], 0, 2)
+	}
+	f.settle()
+	for i := range routers / 2 {
+		f.kill(i)
+	}
+	wentOn := 0
+	for i := range begun {
+		f.request(routers/2+i%(routers/2), &begun[i], 0, 0)
+		if begun[i].mixed() {
+			t.Errorf("a stream has events of %v", begun[i].versions)
+		}
+		if begun[i].complete {
+			wentOn++
+		}
+	}
+	if wentOn < streams/2 {
+		t.Errorf("%d of %d streams went on, want at least half", wentOn, streams)
+	}
+	t.Logf("%d of %d streams went on", wentOn, streams)
+}
+
+// The router that began the streams is cut off from the others from the start.
+func TestProofAStreamOfUnknownOriginIsRefusedAtOnce(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v2")
+	for _, other := range []string{"vm1", "vm2"} {
+		f.network.Block("vm0", other)
+		f.network.Block(other, "vm0")
+	}
+	for range 10 {
+		var s callerStream
+		f.request(0, &s, 0, 2)
+		runs, began := f.totalRuns(), time.Now()
+		f.request(1, &s, 0, 0)
+		if elapsed := time.Since(began); s.status != http.StatusServiceUnavailable || f.totalRuns() != runs || elapsed > time.Second {
+			t.Fatalf("status %d, %d runs, after %v", s.status, f.totalRuns()-runs, elapsed)
+		}
+		// The router that began it knows.
+		if f.request(0, &s, 0, 0); !s.complete || s.mixed() {
+			t.Fatalf("events of %v, complete: %v", s.versions, s.complete)
+		}
+	}
+}
+
+// All routers are killed in one moment.
+func TestRestartedRoutersGoOnWithTheOnlyVersion(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v1")
+	var s callerStream
+	f.request(0, &s, 0, 2)
+	f.restartAll()
+	if f.request(1, &s, 0, 0); !s.complete {
+		t.Fatalf("status %d, events of %v", s.status, s.versions)
+	}
+}
+
+// The endpoints are replaced by those of another version while all routers are down.
+func TestProofRestartedRoutersRememberTheVersionBefore(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v1")
+	var s callerStream
+	f.request(0, &s, 0, 2)
+	for i := range f.routers {
+		f.kill(i)
+	}
+	f.endpoints = []catalog.Endpoint{f.startEndpoint("e9", "v2")}
+	for i := range f.routers {
+		f.startRouter(i)
+	}
+	runs := f.totalRuns()
+	f.request(1, &s, 0, 0)
+	if s.status != http.StatusServiceUnavailable || f.totalRuns() != runs {
+		t.Fatalf("status %d, events of %v", s.status, s.versions)
+	}
+}
+
+func TestAServiceWithOneVersionTellsAndAsksNothing(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v1")
+	for i := range 10 {
+		var s callerStream
+		f.request(i%3, &s, 3, 4)
+		if f.request((i+1)%3, &s, 0, 0); !s.complete {
+			t.Fatalf("status %d, events of %v", s.status, s.versions)
+		}
+	}
+	f.settle()
+	for _, r := range f.routers {
+		if n := r.count("stream_origin_calls"); n != 0 {
+			t.Errorf("%d calls to other routers", n)
+		}
+	}
+}
+
+// The stream began while there was one version, and its router dies when there are two.
+func TestProofStreamsInFlightAreToldWhenASecondVersionComes(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v1")
+	var s callerStream
+	f.request(0, &s, 0, 2)
+	f.list(append(f.endpoints, f.startEndpoint("e8", "v2"), f.startEndpoint("e9", "v2"))...)
+	f.settle()
+	f.kill(0)
+	if f.request(1, &s, 0, 0); !s.complete || s.mixed() {
+		t.Fatalf("status %d, events of %v", s.status, s.versions)
+	}
+}
+
+// An endpoint starts again under its ID and address at another version, while the list can't be
+// read. No stream of the version before goes on there, and none that began there elsewhere.
+func TestProofAnEndpointBackAtAnotherVersionMixesNoStreams(t *testing.T) {
+	f := newStreamFleet(t, 1, "v1", "v1", "v2")
+	r := f.routers[0]
+	r.SetEndpointSourceUnavailable(true)
+	changed := f.served[f.endpoints[0].Address]
+	changed.process.Store(&endpointProcess{version: "v3", started: 2})
+	for range 40 {
+		var s callerStream
+		f.request(0, &s, 3, 0)
+		if !s.complete {
+			f.request(0, &s, 0, 0)
+		}
+		if s.mixed() {
+			t.Fatalf("events of %v", s.versions)
+		}
+	}
+	r.SetEndpointSourceUnavailable(false)
+	f.endpoints[0].Version, f.endpoints[0].Started = "v3", 2
+	f.list(f.endpoints...)
+	for range 40 {
+		var s callerStream
+		if f.request(0, &s, 0, 2); s.versions[0] != "v3" {
+			continue
+		}
+		if f.request(0, &s, 0, 0); !s.complete || s.mixed() {
+			t.Fatalf("once the list is read: status %d, events of %v", s.status, s.versions)
+		}
+	}
+}
+
+func TestInvalidOriginsOfOtherRoutersAreDropped(t *testing.T) {
+	sound := func() *pb.StreamOrigin {
+		return encodeOrigin(streamorigin.Stream{Key: streamorigin.KeyOf("w", "r"), Origin: streamorigin.Origin{Service: "s", Version: "v1"}, Keep: time.Minute})
+	}
+	if got, ok := decodeOrigin(sound()); !ok || got.Origin.Version != "v1" || got.Keep != time.Minute || got.Key != streamorigin.KeyOf("w", "r") {
+		t.Fatalf("a sound origin was changed: %+v", got)
+	}
+	for what, change := range map[string]func(*pb.StreamOrigin){
+		"no key":       func(o *pb.StreamOrigin) { o.Key = nil },
+		"short key":    func(o *pb.StreamOrigin) { o.Key = o.Key[:15] },
+		"no service":   func(o *pb.StreamOrigin) { o.Service = "" },
+		"long version": func(o *pb.StreamOrigin) { o.Version = string(make([]byte, maxOriginTextBytes+1)) },
+		"no time":      func(o *pb.StreamOrigin) { o.KeepMs = 0 },
+		"too long":     func(o *pb.StreamOrigin) { o.KeepMs = 1 << 50 },
+	} {
+		o := sound()
+		if change(o); o != nil {
+			if _, ok := decodeOrigin(o); ok {
+				t.Errorf("%s: accepted", what)
+			}
+		}
+	}
+	if _, ok := decodeOrigin(nil); ok {
+		t.Error("nothing: accepted")
+	}
+}
+
+// What a stream costs doesn't grow with the fleet, and no router holds many more than others.
+func TestTellingOfStreamsIsSpreadEvenly(t *testing.T) {
+	const streams = 20_000
+	for _, routers := range []int{4, 100, 360} {
+		p := newPeers(prepaid.ProcessID{VM: "vm"}, "fd", memnet.New().Host("vm"), nil, nil, slog.New(slog.DiscardHandler))
+		for i := range routers - 1 {
+			p.add(prepaid.ProcessID{VM: fmt.Sprintf("vm%d", i), Incarnation: 1}, "h:1", "fd")
+		}
+		held := make(map[prepaid.ProcessID]int)
+		for i := range streams {
+			holders := p.originHolders(streamorigin.KeyOf("w", strconv.Itoa(i)), true)
+			if len(holders) != min(routers-1, maxOriginHolders) {
+				t.Fatalf("%d routers: %d holders", routers, len(holders))
+			}
+			for _, holder := range holders[:originHolders] {
+				held[holder]++
+			}
+		}
+		most := 0
+		for _, n := range held {
+			most = max(most, n)
+		}
+		if mean := float64(originHolders*streams) / float64(routers-1); float64(most) > 2*mean {
+			t.Errorf("%d routers: one holds %d streams, the mean is %.0f", routers, most, mean)
+		}
+	}
+	origin := encodeOrigin(streamorigin.Stream{Origin: streamorigin.Origin{Service: "brew-models", Version: "v1.1"}, Keep: 42 * time.Second})
+	t.Logf("%d bytes for each of %d holders of a stream", proto.Size(&pb.KeepOriginsRequest{Origins: []*pb.StreamOrigin{origin}}), originHolders)
+}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -43,6 +43,7 @@
 	CauseEndpointCrashed        Cause = "endpoint_crashed"
 	CauseEndpointRefused        Cause = "endpoint_refused"
 	CauseStreamBroken           Cause = "stream_broken"
+	CauseStreamOriginUnknown    Cause = "stream_origin_unknown"
 	CauseCancelled              Cause = "cancelled"
 	CauseUnknownAttempt         Cause = "unknown_attempt"
 	CauseFenced                 Cause = "fenced"
--- a/refusal/status.go
+++ b/refusal/status.go
@@ -64,6 +64,7 @@
 	{CauseEndpointCrashed, http.StatusBadGateway, states(unknown, partial), true, "The endpoint crashed while it ran the request."},
 	{CauseEndpointRefused, http.StatusBadGateway, states(notRun, completed), false, "The endpoint refused the request."},
 	{CauseStreamBroken, http.StatusBadGateway, states(unknown, partial), true, "The answer broke off and can't be continued."},
+	{CauseStreamOriginUnknown, http.StatusServiceUnavailable, states(notRun), true, "The version that began the stream is not known here, or serves no more; no other may go on with it."},
 	{CauseCancelled, 499, states(notRun, unknown, partial), false, "The request was cancelled."},
 	{CauseUnknownAttempt, http.StatusServiceUnavailable, states(notRun, unknown), true, "The attempt is no longer current, or the agent does not know it."},
 	{CauseFenced, http.StatusServiceUnavailable, states(notRun), true, "The sender holds an old incarnation or fencing number."},
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -80,6 +80,8 @@
 	Parts []PromptPart
 	// PromptTokens is the size of the whole prompt, 0 if the service has no prompts.
 	PromptTokens int64
+	// Version is the version of the software at which the request must run; empty for any.
+	Version string
 	// Exclude lists the IDs of endpoints that must not be chosen.
 	Exclude []string
 	// Barred reports whether an endpoint must get no request now, also if no other is
@@ -281,7 +283,8 @@
 	active, paused := p.active[:0], p.paused[:0]
 	for _, t := range p.services[q.Service] {
 		switch {
-		case slices.Contains(q.Exclude, t.endpoint.ID), q.Barred != nil && q.Barred(t.endpoint):
+		case q.Version != "" && t.endpoint.Version != q.Version,
+			slices.Contains(q.Exclude, t.endpoint.ID), q.Barred != nil && q.Barred(t.endpoint):
 		case now.Before(t.pausedUntil):
 			paused = append(paused, t)
 		default:
@@ -434,7 +437,7 @@
 
 // sameProcess reports whether two entries of an endpoint are of the same process.
 func sameProcess(a, b PromptEndpoint) bool {
-	return a.Incarnation == b.Incarnation && a.Address == b.Address
+	return a.Incarnation == b.Incarnation && a.Address == b.Address && a.Version == b.Version
 }
 
 // RecordLoad records the load that an endpoint reported with a response: the running
