--- a/direct/origins.go
+++ b/direct/origins.go
@@ -225,7 +225,7 @@
 		return
 	}
 	x.bound, x.origin = true, streamorigin.Origin{Service: x.service, Version: a.choice.Endpoint.Version}
-	if !x.route.Resumable {
+	if !x.route.Resumable || x.meta.ID == "" {
 		return
 	}
 	r := x.router
