direct: tell requests that a notice of their endpoint overtook

Observability before any change of logic: logs couldn't tell a request that was chosen before the notice from one that was chosen in spite of it. The notices are looked at again before the first byte is sent; a line and the counter requests_overtaken_by_notices tell of those that are sent all the same.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -146,7 +146,8 @@
 		},
 		Got1xxResponse: a.timer.gotInformational,
 	}
-	req, err := x.newEndpointRequest(httptrace.WithClientTrace(a.timer.ctx, trace), choice)
+	requestCtx := withBeforeSend(a.timer.ctx, func() error { return x.checkBeforeSend(a) })
+	req, err := x.newEndpointRequest(httptrace.WithClientTrace(requestCtx, trace), choice)
 	if err != nil {
 		a.outcome, a.err = outcomeNotSent, err
 		return a
--- a/direct/notices.go
+++ b/direct/notices.go
@@ -19,6 +19,8 @@
 	leavings tally.Counter
 	pauses   tally.Counter
 	replaced tally.Counter
+	// overtaken counts the requests whose endpoint said that it wants none after it was chosen.
+	overtaken tally.Counter
 	// list are the usable endpoints. services are the same by service, if indexed is set.
 	list     []routing.PromptEndpoint
 	indexed  bool
@@ -36,6 +38,7 @@
 	n.leavings = scope.Counter("endpoint_leaving_notices")
 	n.pauses = scope.Counter("endpoint_pause_notices")
 	n.replaced = scope.Counter("endpoints_found_replaced")
+	n.overtaken = scope.Counter("requests_overtaken_by_notices")
 }
 
 var _ constraint = (*notices)(nil)
@@ -117,6 +120,29 @@
 	return wait, ok
 }
 
+// checkBeforeSend looks at the notices of the endpoint again before the first byte of a request is
+// sent to it: between the choice and that moment the router waits for the connection, and for its
+// processor.
+func (x *exchange) checkBeforeSend(a *attempt) error {
+	if !x.router.barredByNotice(a.choice.Endpoint) {
+		return nil
+	}
+	x.router.logger.Info("endpoint said that it wants no requests after it was chosen", "request", x.meta.ID,
+		"endpoint", a.choice.Endpoint.ID, "address", a.choice.Endpoint.Address, "chosen_ms_ago", time.Since(a.sentAt).Milliseconds())
+	return nil
+}
+
+// barredByNotice reports whether an endpoint's own word bars it.
+func (e *endpointSet) barredByNotice(endpoint routing.PromptEndpoint) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	barred := e.notices.Bars(time.Now(), processOf(endpoint))
+	if barred {
+		e.notices.overtaken.Inc(1)
+	}
+	return barred
+}
+
 // useNotices adds the constraint by notices.
 func (e *endpointSet) useNotices(n *notices) {
 	e.notices = n
--- a/direct/traffic.go
+++ b/direct/traffic.go
@@ -23,6 +23,15 @@
 	return &countedListener{Listener: l, traffic: t}
 }
 
+// beforeSendKey is the context key of a function that is called before the first byte of a
+// request is sent.
+type beforeSendKey struct{}
+
+// withBeforeSend returns a context whose connection calls f before its first byte is sent.
+func withBeforeSend(ctx context.Context, f func() error) context.Context {
+	return context.WithValue(ctx, beforeSendKey{}, f)
+}
+
 // dial wraps a dial function so that its connections are counted.
 func (t *traffic) dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -30,7 +39,8 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn, traffic: t}, nil
+		beforeSend, _ := ctx.Value(beforeSendKey{}).(func() error)
+		return &countedConn{Conn: conn, traffic: t, beforeSend: beforeSend}, nil
 	}
 }
 
@@ -80,6 +90,9 @@
 	pending atomic.Bool
 	// reader is told of the bytes received; nil for none.
 	reader atomic.Pointer[partTimer]
+	// beforeSend is called before the first byte is sent, nil for none. If it fails, nothing is
+	// sent. Only Write uses it.
+	beforeSend func() error
 }
 
 // Read implements net.Conn.
@@ -94,6 +107,12 @@
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
+	if beforeSend := c.beforeSend; beforeSend != nil {
+		c.beforeSend = nil
+		if err := beforeSend(); err != nil {
+			return 0, err
+		}
+	}
 	n, err := c.Conn.Write(b)
 	c.traffic.sent.Add(int64(n))
 	return n, err
