direct: a request isn't sent to an endpoint that asked for a pause after it was chosen

What endpoints saw: requests in a pause that they had asked this router for (BUDGET), or after they said that they leave.

Cause: the notices were looked at when the endpoint was chosen, and not again. Class of fault: a decision that is acted on later without looking at what it depends on again.

Change: the notices are looked at again at the first write of the connection. The request then was not sent and may go to another endpoint; the attempt isn't held against the endpoint. The transport may report the connection that it closes instead of this error (seen in a repeated run of the test), so the attempt keeps it.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -110,6 +111,8 @@
 	// deadline of the request passed while a part was incomplete.
 	timer      *partTimer
 	unfinished bool
+	// overtaken is set if nothing was sent because the endpoint wants no requests any more.
+	overtaken atomic.Pointer[OvertakenError]
 	// final is set when another attempt would be of no use. blameless is set when the
 	// failure is this router's.
 	final, blameless bool
@@ -153,7 +156,15 @@
 		return a
 	}
 	resp, err := x.router.transport.RoundTrip(req)
+	overtaken := a.overtaken.Load()
 	switch {
+	case overtaken != nil:
+		// The transport may report the connection that it closed instead.
+		sent = false
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		a.outcome, a.err, a.blameless = outcomeNotSent, errors.WithStack(overtaken), true
 	case err == nil:
 		a.timer.complete()
 		a.readResponseHead(x, resp)
--- a/direct/pause_test.go
+++ b/direct/pause_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -43,7 +44,7 @@
 	var group sync.WaitGroup
 	statuses := make([]int, waiting)
 	for i := range waiting {
-		group.Go(func() { statuses[i] = g.send(http.MethodPost, "/book/a", "").status })
+		group.Go(func() { statuses[i] = g.send(http.MethodPost, "/book/a", strings.Repeat("x", 200*i)).status })
 	}
 	for range waiting {
 		<-held
