endpointnotice: a process whose start is unknown may be the one that gave a notice

What endpoints saw: requests in a pause that they had asked for, or after they said that they leave, once their entry stated its start, or no longer did.

Cause: notices are kept by ID, address and start of a process, and a start that isn't stated was taken for another process. Class of fault: what was said is looked up under an identity that changes.

Processes with different starts are told apart as before.

--- a/endpointnotice/notices.go
+++ b/endpointnotice/notices.go
@@ -60,15 +60,20 @@
 	return n.leaving && (e.Started != 0 || now.Sub(n.heardAt) < unknownStartBar)
 }
 
+// place is where an endpoint is reached, whichever process it is.
+type place struct{ id, address string }
+
 // Notices are the notices of the endpoints of one router.
 type Notices struct {
 	byEndpoint map[Endpoint]*notice
 	listed     map[Endpoint]bool
+	// lastStart is the start of the process that was last heard at a place.
+	lastStart map[place]int64
 }
 
 // New returns an empty set of notices.
 func New() *Notices {
-	return &Notices{byEndpoint: make(map[Endpoint]*notice)}
+	return &Notices{byEndpoint: make(map[Endpoint]*notice), lastStart: make(map[place]int64)}
 }
 
 // Len returns the number of notices.
@@ -99,6 +104,7 @@
 func (s *Notices) hear(now time.Time, e Endpoint) *notice {
 	n := s.seen(now, e)
 	n.heardAt = now
+	s.lastStart[place{id: e.ID, address: e.Address}] = e.Started
 	return n
 }
 
@@ -151,22 +157,54 @@
 			delete(s.byEndpoint, e)
 		}
 	}
+	for at, started := range s.lastStart {
+		if s.byEndpoint[Endpoint{ID: at.id, Address: at.address, Started: started}] == nil {
+			delete(s.lastStart, at)
+		}
+	}
+}
+
+// sameProcess returns the notice of a process that may be the same as another one, as the start
+// of one of them is unknown; nil if there is none. The list may state a start later, or no more.
+func (s *Notices) sameProcess(e Endpoint) *notice {
+	if len(s.lastStart) == 0 {
+		return nil
+	}
+	started, heard := s.lastStart[place{id: e.ID, address: e.Address}]
+	if !heard || started == e.Started || started != 0 && e.Started != 0 {
+		return nil
+	}
+	return s.byEndpoint[Endpoint{ID: e.ID, Address: e.Address, Started: started}]
+}
+
+// barsUnknown reports whether the notice forbids requests to a process that may be the one which
+// gave it.
+func (n *notice) barsUnknown(now time.Time) bool {
+	return n != nil && (now.Before(n.pausedUntil) || n.leaving && now.Sub(n.heardAt) < unknownStartBar)
 }
 
 // Bars reports whether an endpoint must get no request now.
 func (s *Notices) Bars(now time.Time, e Endpoint) bool {
 	n := s.byEndpoint[e]
-	return n != nil && n.bars(now, e)
+	return n != nil && n.bars(now, e) || s.sameProcess(e).barsUnknown(now)
 }
 
 // PauseEnd returns when the pause of an endpoint that is barred only by its pause ends, and
 // false if it is not.
 func (s *Notices) PauseEnd(now time.Time, e Endpoint) (time.Time, bool) {
-	n := s.byEndpoint[e]
-	if n == nil || n.leaving || now.Before(n.replaced.until) || !now.Before(n.pausedUntil) {
-		return time.Time{}, false
+	var end time.Time
+	for _, n := range []*notice{s.byEndpoint[e], s.sameProcess(e)} {
+		if n == nil {
+			continue
+		}
+		if n.leaving || now.Before(n.replaced.until) {
+			return time.Time{}, false
+		}
+		if n.pausedUntil.After(end) {
+			end = n.pausedUntil
+		}
 	}
-	return n.pausedUntil, true
+	return end, now.Before(end)
 }
 
 // Status is the state of one notice for the diagnostic dump.
--- a/endpointnotice/notices_test.go
+++ b/endpointnotice/notices_test.go
@@ -81,3 +81,34 @@
 		t.Fatalf("%d notices after the retention", len(s.byEndpoint))
 	}
 }
+
+// A process whose start is unknown can't be told from another one at its ID and address; a process
+// with a stated start can be told from one with another.
+func TestAnUnknownStartIsTakenForTheSameProcess(t *testing.T) {
+	now := time.Now()
+	at := func(started int64) Endpoint { return Endpoint{ID: "e", Address: "10.0.0.1:1", Started: started} }
+	for _, heard := range []int64{0, 5} {
+		for _, listed := range []int64{0, 5} {
+			s := New()
+			s.RecordPause(now, at(heard), time.Minute)
+			s.SetListed(now, []Endpoint{at(listed)})
+			s.Expire(now)
+			if end, ok := s.PauseEnd(now, at(listed)); !s.Bars(now, at(listed)) || !ok || end.Sub(now) != time.Minute {
+				t.Errorf("heard with start %d, listed with %d: the pause ends in %v, %v", heard, listed, end.Sub(now), ok)
+			}
+			if s.Bars(now.Add(time.Minute), at(listed)) {
+				t.Errorf("heard with start %d, listed with %d: the pause doesn't end", heard, listed)
+			}
+			if s.Expire(now.Add(time.Minute)); s.Len() != 0 || len(s.lastStart) != 0 {
+				t.Errorf("%d notices after the pause", s.Len())
+			}
+			s.RecordLeaving(now, at(heard))
+			if !s.Bars(now, at(listed)) || listed != heard && s.Bars(now.Add(unknownStartBar), at(listed)) {
+				t.Errorf("heard with start %d, listed with %d: leaving isn't obeyed for a time", heard, listed)
+			}
+			if heard != 0 && s.Bars(now, at(6)) {
+				t.Error("another process is barred")
+			}
+		}
+	}
+}
