direct: an endpoint that asked for a pause isn't asked for the start of its process

Found by reading each way by which a request reaches an endpoint. TestAPausedEndpointIsNotAskedForItsStart failed before (asked once in the pause) and passes.

--- a/direct/pause_test.go
+++ b/direct/pause_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"jackdawswitch/catalog"
+	"jackdawswitch/routing"
 )
 
 // pauseOnce makes the first request to an endpoint be rejected with a pause.
@@ -87,3 +88,36 @@
 		}
 	}
 }
+
+// startCounter counts the questions for the start of a process.
+type startCounter struct{ asked atomic.Int64 }
+
+// ProcessStart implements StartReader.
+func (c *startCounter) ProcessStart(context.Context, string) (int64, error) {
+	c.asked.Add(1)
+	return 5, nil
+}
+
+// A router that doubts the version of an endpoint asks it for the start of its process.
+func TestAPausedEndpointIsNotAskedForItsStart(t *testing.T) {
+	g := newTestRouter(t, 1, pauseOnce(time.Minute))
+	starts := &startCounter{}
+	g.router.opts.Starts = starts
+	g.listEndpoints(5)
+	choice, err := g.router.pick(routing.PromptQuery{Service: "s"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func() bool {
+		result := make(chan bool, 1)
+		g.router.proveVersion(choice.Endpoint, func(proven bool) { result <- proven })
+		return <-result
+	}
+	if !ask() || starts.asked.Load() != 1 {
+		t.Fatalf("asked %d times before the pause", starts.asked.Load())
+	}
+	g.send(http.MethodPost, "/book/a", "")
+	if ask() || starts.asked.Load() != 1 {
+		t.Errorf("asked %d times in the pause", starts.asked.Load()-1)
+	}
+}
--- a/direct/provenversion.go
+++ b/direct/provenversion.go
@@ -104,7 +104,8 @@
 	of := processOf(endpoint)
 	r.mu.Lock()
 	waiting, asking := r.proofs.asked[of]
-	canAsk := r.opts.Starts != nil && of.Started != 0 && len(r.proofs.asked) < maxProcessCalls
+	canAsk := r.opts.Starts != nil && of.Started != 0 && len(r.proofs.asked) < maxProcessCalls &&
+		!r.notices.Bars(time.Now(), of)
 	if asking || canAsk {
 		r.proofs.asked[of] = append(waiting, result)
 	}
