--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -41,8 +41,9 @@
 	notices     *notices
 	limits      *limits
 	proofs      processProofs
-	// useEndpoints is called with the usable endpoints when they changed; nil for none.
-	useEndpoints func(now time.Time, list []routing.PromptEndpoint)
+	// endpointsChanged is called with the usable endpoints when they changed, with the lock held;
+	// nil for none.
+	endpointsChanged func(now time.Time, list []routing.PromptEndpoint)
 }
 
 func newEndpointSet(failureDomain string, logger *slog.Logger) *endpointSet {
@@ -164,8 +165,8 @@
 	}
 	e.picker.SetEndpoints(list)
 	e.notices.setListed(list)
-	if e.useEndpoints != nil {
-		e.useEndpoints(time.Now(), list)
+	if e.endpointsChanged != nil {
+		e.endpointsChanged(time.Now(), list)
 	}
 }
 
--- a/direct/router.go
+++ b/direct/router.go
@@ -145,7 +145,7 @@
 	r.peers = newPeers(self, opts.Settings.FailureDomain, opts.Network, r.endpointSet, r.draining.Load, opts.Logger)
 	r.peers.tableCaller = opts.TableCaller
 	r.streams = newStreamOrigins(newOriginTeller(r.peers, opts.Logger, opts.Metrics), opts.Metrics)
-	r.peers.streams, r.useEndpoints = r.streams, r.streams.setEndpoints
+	r.peers.streams, r.endpointsChanged = r.streams, r.streams.setEndpoints
 	r.credit = prepaid.NewService(prepaid.Options{
 		VM: self.VM, Incarnation: self.Incarnation, Policy: prepaid.DefaultPolicy(),
 		Table: opts.Table, Witnesses: r.peers, Others: r.peers, Logger: opts.Logger, Metrics: opts.Metrics,
