--- a/streamorigin/book.go
+++ b/streamorigin/book.go
@@ -25,7 +25,7 @@
 	// endedKeep is how long the origin of a stream is kept after its end was sent.
 	endedKeep = 5 * time.Second
 
-	// maxStreams bounds the origins of a Book, at about 200 bytes each. A router of a fleet of
+	// maxStreams bounds the origins of a Book, at 180 bytes each. A router of a fleet of
 	// 100 has some 20,000: 100 streams a second of its own and twice as many of others, for
 	// a minute each.
 	maxStreams = 1 << 16
