--- a/direct/origintell.go
+++ b/direct/origintell.go
@@ -63,8 +63,8 @@
 
 	mu sync.Mutex
 	// queue are the origins whose holders aren't determined yet, pending the others by holder,
-	// and count is the number of both. busy are the holders with a
-	// call under way, avoided those that failed lately.
+	// and count is the number of both. busy are the holders with a call under way, avoided
+	// those that failed lately.
 	queue   []pendingOrigin
 	pending map[prepaid.ProcessID][]pendingOrigin
 	count   int
