--- a/ctl/fleet_test.go
+++ b/ctl/fleet_test.go
@@ -22,6 +22,7 @@
 		"credit": [{"workspace": "w", "budget": 1000, "amount": 400, "spent": 100, "reserved": 50, "unspent": 250,
 			"tokensPerSecond": 12, "rowAgeMs": 1500, "statementAgeMs": 250}],
 		"limits": [{"endpoint": "e1", "service": "s", "rate": 1.7, "places": 2, "heardMs": 120, "heardHereMs": -1}],
+		"versions": [{"service": "s", "version": "v1", "goneMs": 7}, {"service": "s", "version": "v2"}], "streamOrigins": 2,
 		"quarantinedParts": [{"parts": ["p1"], "crashes": 3, "refused": 4, "lastMs": 1, "untilMs": 600001}]}`
 	secondRouter = `{"vm": "vm-b", "ready": false, "unready": ["link full"], "configVersion": 6, "peers": 1, "handOvers": -1,
 		"pressure": {"shedShare": 0, "linkShare": 0.6, "lagMs": 0.1, "eventHoldMs": 0},
