--- a/endpointnotice/notices_test.go
+++ b/endpointnotice/notices_test.go
@@ -82,8 +82,7 @@
 	}
 }
 
-// A process whose start is unknown can't be told from another one at its ID and address; a process
-// with a stated start can be told from one with another.
+// A stated start tells a process from one with another start, an unknown one doesn't.
 func TestAnUnknownStartIsTakenForTheSameProcess(t *testing.T) {
 	now := time.Now()
 	at := func(started int64) Endpoint { return Endpoint{ID: "e", Address: "10.0.0.1:1", Started: started} }
