--- a/direct/streamversion_test.go
+++ b/direct/streamversion_test.go
@@ -167,8 +167,7 @@
 	}
 }
 
-// An endpoint starts again under its ID and address at another version, while the list can't be
-// read. No stream of the version before goes on there, and none that began there elsewhere.
+// The endpoint starts again under its ID and address, while the list can't be read.
 func TestProofAnEndpointBackAtAnotherVersionMixesNoStreams(t *testing.T) {
 	f := newStreamFleet(t, 1, "v1", "v1", "v2")
 	r := f.routers[0]
