prepaid: the witness is asked for all requests that wait

A holder asked its witness for nothing while its limit covered more than half of the largest waiting request, so that a request of up to twice that waited in vain, and otherwise for the largest request alone, so that many were served one per round trip.

Change: the announcement covers the sum of what waits (Book.AddWaiting), and is omitted only if the limit covers it.

Test: TestRequestsThatTheWitnessWouldAllowAreServed, which failed on both cases.

--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -93,6 +93,8 @@
 	// unmet is the largest reservation that failed since the last planned update, 0 once
 	// one at least as large succeeded.
 	unmet int64
+	// waiting is the sum of the tokens of the requests that wait for credit.
+	waiting int64
 	// unresolved is set while the outcome of a write isn't known. The write required the
 	// row to be at unresolvedVersion.
 	unresolved        bool
--- a/prepaid/book.go
+++ b/prepaid/book.go
@@ -171,6 +171,13 @@
 	return result
 }
 
+// AddWaiting adds the tokens of a request that waits for credit, or removes them if negative.
+func (b *Book) AddWaiting(workspace string, tokens int64) {
+	if a := b.accounts[workspace]; a != nil {
+		a.waiting += tokens
+	}
+}
+
 // TryReserve is like Reserve but doesn't refill the grant, as another process may cover
 // the request.
 func (b *Book) TryReserve(now time.Time, workspace string, tokens int64) ReserveResult {
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -177,8 +177,13 @@
 		changed := s.changed
 		tableUnavailable := s.statementsFailing || s.statementBusy && time.Since(s.statementBusySince) > slowStatementAfter
 		witnessCanHelp := s.witnessAnswers() && s.book.withinReach(time.Now(), workspace, tokens)
+		waits := result == Short && (!tableUnavailable || witnessCanHelp)
+		if waits && timeout == nil {
+			s.book.AddWaiting(workspace, tokens)
+			defer s.endWaiting(workspace, tokens)
+		}
 		s.mu.Unlock()
-		if result != Short || tableUnavailable && !witnessCanHelp {
+		if !waits {
 			return result
 		}
 		s.wake()
@@ -197,6 +202,13 @@
 	}
 }
 
+// endWaiting records that a request no longer waits for credit.
+func (s *Service) endWaiting(workspace string, tokens int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.AddWaiting(workspace, -tokens)
+}
+
 // Settle ends a reservation and records the tokens used, at most those reserved.
 func (s *Service) Settle(workspace string, reserved, used int64) {
 	s.mu.Lock()
--- a/prepaid/witness.go
+++ b/prepaid/witness.go
@@ -128,8 +128,9 @@
 }
 
 // Announcement returns the limits to announce to the witness of the statement in force,
-// in tokens spent, by workspace. It omits workspaces whose next spending is covered by
-// the statement or by limits that are already acknowledged.
+// in tokens spent, by workspace. It omits workspaces whose next spending, with all requests
+// that wait for credit, is covered by the statement or by limits that are already
+// acknowledged.
 func (b *Book) Announcement(now time.Time) map[string]int64 {
 	w := b.Witness()
 	if w == nil {
@@ -139,12 +140,13 @@
 	var limits map[string]int64
 	for workspace, a := range b.active {
 		used := a.spent + a.reserved
-		ahead := max(int64(a.rate(now)*announceHorizon.Seconds()), a.unmet)
+		usual := int64(a.rate(now) * announceHorizon.Seconds())
+		wanted := max(a.waiting, a.unmet)
 		beforeReach := age < time.Duration(b.confirmed.statement.Entries[workspace].ReachDelayMS)*time.Millisecond
-		if beforeReach || a.amount == 0 || b.statementLimit(now, workspace)-used > ahead/2 {
+		if beforeReach || a.amount == 0 || b.statementLimit(now, workspace)-used >= max(usual/2, wanted) {
 			continue
 		}
-		limit := min(used+ahead, a.amount)
+		limit := min(used+max(usual, wanted), a.amount)
 		if *w == b.acknowledger && limit <= b.acknowledgedLimits[workspace] {
 			continue
 		}
--- a/prepaid/witness_test.go
+++ b/prepaid/witness_test.go
@@ -176,3 +176,35 @@
 		t.Fatalf("limits %+v are taken as complete, but that of v was discarded", got)
 	}
 }
+
+// TestRequestsThatTheWitnessWouldAllowAreServed guards against requests that wait in vain for
+// the witness: a holder asked it for nothing while its statement covered more than half of the
+// largest request, and otherwise for one of many requests at a time. Four requests wait in an
+// outage of the table; one announcement has to serve them all.
+func TestRequestsThatTheWitnessWouldAllowAreServed(t *testing.T) {
+	for name, sizes := range map[string][]int64{
+		"the statement covers three quarters of the request": {-1},
+		"four requests wait at once":                         {7_000, 6_000, 5_000, 4_000},
+	} {
+		w, p, _ := witnessedWorld()
+		w.runMixedLoad(20, false)
+		w.now = w.now.Add(3 * time.Second)
+		w.renewCredit("a", true)
+		if sizes[0] < 0 {
+			sizes[0] = p.book.Describe(w.now, workspace).Available * 4 / 3
+		}
+		var waiting []int64
+		for _, tokens := range sizes {
+			if p.book.Reserve(w.now, workspace, tokens) == prepaid.Short {
+				p.book.AddWaiting(workspace, tokens)
+				waiting = append(waiting, tokens)
+			}
+		}
+		w.renewCredit("a", true)
+		for _, tokens := range waiting {
+			if got := p.book.Reserve(w.now, workspace, tokens); got != prepaid.Reserved {
+				t.Errorf("%s: the request of %d tokens isn't served: result %d", name, tokens, got)
+			}
+		}
+	}
+}
