direct, keepalive: connections to endpoints are kept where it is safe

Ruled out: the pool of http.Transport. It doesn't tell how long a connection was idle, repeats requests without a body by itself, and can't choose by request.

Change: connPool keeps single connections; keepalive.Tracker, which is pure, decides by the time that the endpoint states, by connections lost early and by surplus bytes which requests use them. What must not run twice uses one within a quarter of the stated time, a second at most, and never at an endpoint that closed one early. Responses on kept connections must carry the request's ID.

Tests: keepalive, direct/connpool_test.go (endpoints that reset, close early, send late surplus bytes, leave, pause, restart). The one of surplus bytes was seen to fail without the check of IDs.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -111,6 +111,11 @@
 	// deadline of the request passed while a part was incomplete.
 	timer      *partTimer
 	unfinished bool
+	// conn is the connection of the attempt, nil if there was none, and request what it knows of
+	// the request. foreign is set if the response may belong to another request.
+	conn    *endpointConn
+	request *sentRequest
+	foreign bool
 	// overtaken is set if nothing was sent because the endpoint wants no requests any more.
 	overtaken atomic.Pointer[OvertakenError]
 	// final is set when another attempt would be of no use. blameless is set when the
@@ -118,17 +123,14 @@
 	final, blameless bool
 }
 
-// newTransport returns the transport to the endpoints. Each attempt uses its own
-// connection: surplus bytes of one response can't be taken for another response, and
-// no request is lost because the endpoint has just closed an idle connection. A new
-// connection costs an endpoint about 1 ms.
+// newTransport returns the transport to the endpoints. It only opens connections, which
+// connPool keeps.
 func newTransport(traffic *traffic) *http.Transport {
 	// Requests have deadlines, so that keep-alive probes, which take four system calls a
 	// connection, would tell nothing more.
 	dialer := &net.Dialer{Timeout: endpointDialTimeout, KeepAlive: -1}
 	return &http.Transport{
 		DialContext:            traffic.dial(dialer.DialContext),
-		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
@@ -141,21 +143,13 @@
 		choice: choice, meta: ResponseMeta{Load: -1, ColdFor: -1, RateLimit: -1}, sentAt: time.Now(), lateBefore: x.router.late.sum(),
 		timer: newPartTimer(ctx, x.route.patience(x.router.patienceFloor)),
 	}
-	sent := false
-	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			sent = true
-			a.timer.gotConn(info.Conn)
-		},
-		Got1xxResponse: a.timer.gotInformational,
-	}
-	requestCtx := withBeforeSend(a.timer.ctx, func() error { return x.checkBeforeSend(a) })
-	req, err := x.newEndpointRequest(httptrace.WithClientTrace(requestCtx, trace), choice)
+	trace := &httptrace.ClientTrace{Got1xxResponse: a.timer.gotInformational}
+	req, err := x.newEndpointRequest(httptrace.WithClientTrace(a.timer.ctx, trace), choice)
 	if err != nil {
 		a.outcome, a.err = outcomeNotSent, err
 		return a
 	}
-	resp, err := x.router.transport.RoundTrip(req)
+	resp, sent, err := x.send(a, req)
 	overtaken := a.overtaken.Load()
 	switch {
 	case overtaken != nil:
@@ -172,6 +166,9 @@
 		a.outcome, a.err, a.unreachable = outcomeNotSent, errors.WithStack(err), ctx.Err() == nil
 	default:
 		a.breakOff(errors.WithStack(err))
+		if a.lostConn() {
+			a.crashed, a.blameless = false, true
+		}
 	}
 	if ctx.Err() != nil && (a.outcome == outcomeNotSent || a.outcome == outcomeBroken) {
 		a.cancelled()
@@ -182,6 +179,58 @@
 	return a
 }
 
+// send sends the request on a kept connection if one may take it, or else on a new one. A kept
+// one that ends before the first byte is sent is replaced by a new one. sent is set if the request
+// may have reached the endpoint.
+func (x *exchange) send(a *attempt, req *http.Request) (resp *http.Response, sent bool, err error) {
+	pool, process := x.router.conns, connProcess(a.choice.Endpoint)
+	a.conn = pool.take(process, !x.progress.repeatable && !x.progress.resumable)
+	for {
+		if a.conn == nil {
+			if a.conn, err = pool.open(a.timer.ctx, process); err != nil {
+				return nil, false, err
+			}
+		}
+		a.request = &sentRequest{beforeSend: func() error { return x.checkBeforeSend(a) }}
+		a.conn.counted.request.Store(a.request)
+		a.conn.counted.reader.Store(a.timer)
+		resp, err = a.conn.RoundTrip(req)
+		sent = a.request.sending.Load()
+		if err == nil || sent || !a.conn.reused() || a.overtaken.Load() != nil || a.timer.ctx.Err() != nil {
+			return resp, sent, err
+		}
+		pool.failed(a.conn, true, false)
+		a.conn = nil
+		if req.Body != nil {
+			req.Body = io.NopCloser(bytes.NewReader(x.body))
+		}
+	}
+}
+
+// endConn ends the attempt's use of its connection. An endpoint that wants no more requests gets
+// none on kept connections either.
+func (x *exchange) endConn(a *attempt) {
+	switch {
+	case a.conn == nil:
+	case a.outcome == outcomeAnswered && !a.meta.Leaving && a.meta.RetryAfter <= 0:
+		x.router.conns.finish(a.conn, a.meta.KeepAlive)
+	default:
+		x.router.conns.failed(a.conn, a.outcome == outcomeBroken && !a.request.answered.Load(), a.foreign)
+	}
+}
+
+// connIdled returns how long the connection of the attempt was idle before, 0 for a new one.
+func (a *attempt) connIdled() time.Duration {
+	if a.conn == nil {
+		return 0
+	}
+	return a.conn.idled
+}
+
+// lostConn reports whether a kept connection ended before any byte of the response: its endpoint
+// has closed it, and needn't have failed.
+func (a *attempt) lostConn() bool { return a.conn.reused() && !a.request.answered.Load() }
+
 // breakOff records that the response couldn't be read to its end. This counts as a crash of
 // the endpoint, unless the response was too slow.
 func (a *attempt) breakOff(err error) {
@@ -240,8 +289,8 @@
 	x.recordWord(a)
 	problem := ""
 	switch {
-	case a.meta.RequestID != "" && a.meta.RequestID != x.meta.ID:
-		problem = "response carries the id of another request"
+	case a.isForeign(x.meta.ID):
+		problem, a.foreign = "response carries the id of another request, or none on a kept connection", true
 	case resp.Header.Get("Content-Encoding") != "":
 		problem = "response has a Content-Encoding"
 	case a.meta.NotRun:
@@ -272,6 +321,12 @@
 	}
 }
 
+// isForeign reports whether a response may belong to another request. Without an ID, one on a kept
+// connection may be surplus of an earlier request.
+func (a *attempt) isForeign(requestID string) bool {
+	return a.meta.RequestID != requestID && (a.meta.RequestID != "" || a.conn.reused())
+}
+
 // recordFirstToken records the time until the first event of a stream, or until the
 // response of a service without prompts.
 func (x *exchange) recordFirstToken(a *attempt) {
--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -68,6 +68,9 @@
 		RequestID: h.Get("T-Id"), Instance: h.Get("T-Instance"), Signed: h.Get("T-Signed") != "", NotRun: h.Get("T-Not-Run") != "", Load: -1, ColdFor: -1, RateLimit: -1,
 		Leaving: h.Get("T-Leaving") != "", RetryAfter: time.Duration(pause) * time.Millisecond,
 	}
+	if keep, err := time.ParseDuration(h.Get("T-Keep")); err == nil {
+		meta.KeepAlive = keep
+	}
 	if limit, err := strconv.ParseFloat(h.Get("T-Limit"), 64); err == nil {
 		meta.RateLimit = limit
 	}
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -64,6 +64,8 @@
 	Slowdown float64
 	// Leaving is set when the endpoint says that it takes no new requests.
 	Leaving bool
+	// KeepAlive is the time for which the endpoint keeps idle connections; 0 if not specified.
+	KeepAlive time.Duration
 	// RetryAfter is the time for which an endpoint that rejected the request wants no
 	// further ones from this router; 0 if not specified.
 	RetryAfter time.Duration
--- a/direct/responsebound.go
+++ b/direct/responsebound.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/textproto"
 	"sync"
 	"time"
@@ -194,13 +193,7 @@
 	return (p.part == partHead || p.part == partBody) && time.Since(p.begun) >= judgedTime
 }
 
-// gotConn and gotInformational are hooks of the HTTP transport.
-func (p *partTimer) gotConn(conn net.Conn) {
-	if counted, ok := conn.(*countedConn); ok {
-		counted.reader.Store(p)
-	}
-}
-
+// gotInformational is a hook of the HTTP transport.
 func (p *partTimer) gotInformational(int, textproto.MIMEHeader) error {
 	p.complete()
 	if p.informational++; p.informational > maxInformational {
--- a/direct/router.go
+++ b/direct/router.go
@@ -29,6 +29,7 @@
 	"jackdawswitch/evacuation"
 	"jackdawswitch/prepaid"
 	"jackdawswitch/quarantine"
+	"jackdawswitch/routing"
 	"jackdawswitch/rpc"
 )
 
@@ -96,6 +97,7 @@
 	logger    *slog.Logger
 	metrics   *metrics
 	transport *http.Transport
+	conns     *connPool
 	// credit keeps this router's grants. Requests reserve their credit from fleetCredit.
 	credit      *prepaid.Service
 	fleetCredit *fleetCredit
@@ -141,11 +143,15 @@
 	r.overload.started = time.Now()
 	r.late.started = r.overload.started
 	r.transport = newTransport(&r.overload.traffic)
+	r.conns = newConnPool(r.transport, opts.Logger, opts.Metrics)
 	self := prepaid.ProcessID{VM: opts.Settings.VM, Incarnation: opts.Incarnation}
 	r.peers = newPeers(self, opts.Settings.FailureDomain, opts.Network, r.endpointSet, r.draining.Load, opts.Logger)
 	r.peers.tableCaller = opts.TableCaller
 	r.streams = newStreamOrigins(newOriginTeller(r.peers, opts.Logger, opts.Metrics), opts.Metrics)
-	r.peers.streams, r.endpointsChanged = r.streams, r.streams.setEndpoints
+	r.peers.streams, r.endpointsChanged = r.streams, func(now time.Time, list []routing.PromptEndpoint) {
+		r.streams.setEndpoints(now, list)
+		r.conns.setEndpoints(list)
+	}
 	r.credit = prepaid.NewService(prepaid.Options{
 		VM: self.VM, Incarnation: self.Incarnation, Policy: prepaid.DefaultPolicy(),
 		Table: opts.Table, Witnesses: r.peers, Others: r.peers, Logger: opts.Logger, Metrics: opts.Metrics,
--- a/direct/traffic.go
+++ b/direct/traffic.go
@@ -23,13 +23,12 @@
 	return &countedListener{Listener: l, traffic: t}
 }
 
-// beforeSendKey is the context key of a function that is called before the first byte of a
-// request is sent.
-type beforeSendKey struct{}
+// dialedKey is the context key of where a dialed connection is stored.
+type dialedKey struct{}
 
-// withBeforeSend returns a context whose connection calls f before its first byte is sent.
-func withBeforeSend(ctx context.Context, f func() error) context.Context {
-	return context.WithValue(ctx, beforeSendKey{}, f)
+// withDialed returns a context whose connection is stored once it is dialed.
+func withDialed(ctx context.Context, conn **countedConn) context.Context {
+	return context.WithValue(ctx, dialedKey{}, conn)
 }
 
 // dial wraps a dial function so that its connections are counted.
@@ -39,8 +38,11 @@
 		if err != nil {
 			return nil, err
 		}
-		beforeSend, _ := ctx.Value(beforeSendKey{}).(func() error)
-		return &countedConn{Conn: conn, traffic: t, beforeSend: beforeSend}, nil
+		counted := &countedConn{Conn: conn, traffic: t}
+		if dialed, ok := ctx.Value(dialedKey{}).(**countedConn); ok {
+			*dialed = counted
+		}
+		return counted, nil
 	}
 }
 
@@ -90,9 +92,17 @@
 	pending atomic.Bool
 	// reader is told of the bytes received; nil for none.
 	reader atomic.Pointer[partTimer]
-	// beforeSend is called before the first byte is sent, nil for none. If it fails, nothing is
-	// sent. Only Write uses it.
+	// request is the request that is sent next or was sent last, nil for none.
+	request atomic.Pointer[sentRequest]
+}
+
+// sentRequest is what a connection knows of a request.
+type sentRequest struct {
+	// beforeSend is called before the first byte is sent. If it fails, nothing is sent.
 	beforeSend func() error
+	// sending is set once the first byte may have been sent, and answered once a byte was
+	// received after that.
+	sending, answered atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -102,16 +112,19 @@
 	if reader := c.reader.Load(); reader != nil && n > 0 {
 		reader.received(n)
 	}
+	if request := c.request.Load(); request != nil && n > 0 && request.sending.Load() {
+		request.answered.Store(true)
+	}
 	return n, err
 }
 
 // Write implements net.Conn.
 func (c *countedConn) Write(b []byte) (int, error) {
-	if beforeSend := c.beforeSend; beforeSend != nil {
-		c.beforeSend = nil
-		if err := beforeSend(); err != nil {
+	if request := c.request.Load(); request != nil && !request.sending.Load() {
+		if err := request.beforeSend(); err != nil {
 			return 0, err
 		}
+		request.sending.Store(true)
 	}
 	n, err := c.Conn.Write(b)
 	c.traffic.sent.Add(int64(n))
