routing: long prompts are read in time where another endpoint can

Its learned pace was 0.41, faster than any: the work by which the pace is measured counted each running request as 340 tokens to read, so that it seemed the faster the more it had. Besides, a late first token counted nothing at endpoints of equal pace: prompts waited behind up to 3.8 s of reading at the endpoint that held their shared parts.

Change: running requests don't count as work. If the endpoint chosen by load and cached parts has a chance of 0.1 to be late, it is compared with the next ones in the prompt's rendezvous order by that chance.

Test: TestProofLongPromptsAreReadInTime, which failed on both loads before.

--- a/routing/expected.go
+++ b/routing/expected.go
@@ -10,9 +10,14 @@
 
 const (
 	// lateTokens is the cost of a late first token in prompt tokens: what a shared part
-	// of 1,250 tokens costs that is read again. latePlainTokens is that of a late response
-	// of a service without prompts, where it is to weigh as much as some requests more.
-	lateTokens      = 20_000
+	// of 12,500 tokens costs that is read again. It counts once the endpoint that seems best by
+	// its load and the cached parts has a chance of notedLateChance to be late.
+	lateTokens      = 200_000
+	notedLateChance = 0.1
+	// slowerTokens is the cost of a late first token at an endpoint of another pace than the
+	// usual. latePlainTokens is that of a late response of a service without prompts, where it is
+	// to weigh as much as some requests more.
+	slowerTokens    = 20_000
 	latePlainTokens = 15 * inFlightRequestTokens
 	// safeShare is the share of the target latency that the expected time may take with
 	// an even chance of being late, and lateSpread how far, as a logarithm, the times
@@ -22,10 +27,11 @@
 )
 
 // workOf returns the prompt tokens that an endpoint works through until a request's first
-// token. ahead are those of other requests. A request itself counts as some.
+// token. ahead are those of other requests. A request itself counts as some. Running requests
+// delay a prompt little: with them an endpoint would seem the faster the more of them it has.
 func workOf(t *target, ahead float64, unread int64, load float64, prompt bool) float64 {
 	if prompt {
-		return ahead + float64(unread) + inFlightRequestTokens*(load+1)
+		return ahead + float64(unread) + inFlightRequestTokens
 	}
 	// Requests wait only for those beyond the slots.
 	turns := 1.0
@@ -35,23 +41,34 @@
 	return inFlightRequestTokens * turns
 }
 
-// paceCost returns what a request costs more at an endpoint than at one of the usual pace,
-// in prompt tokens; below 0 at a faster one. factor is the time that work takes there
-// relative to the usual.
-func paceCost(s *servicePace, q PromptQuery, work, factor float64) float64 {
-	if factor == 1 {
-		return 0
-	}
+// timeCost returns what the expected time of the request costs at an endpoint, in prompt tokens:
+// the work at its pace beyond that at the usual one, and the chance of a late first token. Unless
+// the lateness is weighed, the chance at the usual pace is left out. factor is the time that work
+// takes at the endpoint relative to the usual.
+func (c *candidateCosts) timeCost(work, factor float64) float64 {
 	cost := (factor - 1) * work
-	if s.secondsPerToken > 0 && q.TargetLatency > 0 {
-		usual := work * s.secondsPerToken / q.TargetLatency.Seconds()
-		late := float64(lateTokens)
-		if q.PromptTokens == 0 {
-			late = latePlainTokens
-		}
-		cost += late * (lateChance(factor*usual) - lateChance(usual))
+	if c.paces.secondsPerToken == 0 || c.query.TargetLatency <= 0 {
+		return cost
+	}
+	usual := work * c.paces.secondsPerToken / c.query.TargetLatency.Seconds()
+	switch {
+	case c.query.PromptTokens == 0:
+		return cost + latePlainTokens*(lateChance(factor*usual)-lateChance(usual))
+	case c.weighsLateness:
+		return cost + lateTokens*lateChance(factor*usual)
+	case factor == 1:
+		return cost
+	}
+	return cost + slowerTokens*(lateChance(factor*usual)-lateChance(usual))
+}
+
+// lateChance returns the chance that the first token of a prompt is late at a chosen endpoint, 0 if
+// it isn't known.
+func (c *candidateCosts) lateChance(choice PromptChoice) float64 {
+	if c.query.PromptTokens == 0 || c.query.TargetLatency <= 0 || choice.Expected <= 0 {
+		return 0
 	}
-	return cost
+	return lateChance(choice.Expected.Seconds() / c.query.TargetLatency.Seconds())
 }
 
 // lateChance returns the chance of a late first token. expected is the expected time
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -171,9 +171,9 @@
 }
 
 // PromptPicker chooses endpoints for prompts whose parts are known. It compares the
-// unread prompt tokens at an endpoint, its in-flight requests, and the tokens of
-// the prompt that it has not cached. In a service without prompts, the in-flight
-// requests decide.
+// unread prompt tokens at an endpoint, its in-flight requests, the tokens of the prompt that
+// it has not cached, and the chance that the first token is late there. In a service without
+// prompts, the in-flight requests decide.
 //
 // It is pure, and not safe for concurrent use.
 type PromptPicker struct {
@@ -227,37 +227,64 @@
 func (p *PromptPicker) Pick(now time.Time, q PromptQuery) (PromptChoice, error) {
 	hashes := hashPrefixes(q.Parts)
 	paces := p.refreshPaces(now, q.Service)
-	preferred := p.preferredTarget(q.Service, hashes)
-	var best *target
-	var choice PromptChoice
-	lowest := math.Inf(1)
-	candidates := 0
+	c := candidateCosts{picker: p, now: now, query: q, hashes: hashes, paces: paces, preferred: p.preferredTarget(q.Service, hashes)}
 	targets := p.candidates(now, q)
-	differ := speedsDiffer(now, paces, targets)
-	if differ {
+	c.differ = speedsDiffer(now, paces, targets)
+	if c.differ {
 		targets = sample(now, targets, hashes, q.Random)
 	}
+	best, choice := c.lowest(targets)
+	if best == nil {
+		return PromptChoice{}, refusal.NotRun(refusal.CauseNoEndpoint, "service %s", q.Service).WithRetryAfter(p.retryAfter(now, q.Service))
+	}
+	if c.lateChance(choice) >= notedLateChance {
+		// All routers know the same busy endpoints: if all others competed, they would all choose
+		// the one that seems best.
+		c.weighsLateness = true
+		others := sample(now, targets, hashes, q.Random)
+		if !slices.Contains(others, best) {
+			others = append(others, best)
+		}
+		_, choice = c.lowest(others)
+	}
+	choice.prefixHashes = hashes
+	return choice, nil
+}
+
+// candidateCosts compares the endpoints that may get a request.
+type candidateCosts struct {
+	picker    *PromptPicker
+	now       time.Time
+	query     PromptQuery
+	hashes    []uint64
+	paces     *servicePace
+	preferred *target
+	// differ is set if endpoints work at unequal speed.
+	differ bool
+	// weighsLateness is set if the chance of a late first token counts also at the usual pace.
+	weighsLateness bool
+}
+
+// lowest returns the target with the lowest cost and its choice, nil if there are no targets.
+func (c *candidateCosts) lowest(targets []*target) (best *target, choice PromptChoice) {
+	lowest := math.Inf(1)
 	for _, t := range targets {
-		candidates++
-		unread := t.unreadTokensOf(now, q, hashes, t == preferred)
-		load := float64(t.inFlight) + t.estimateOtherLoad(now)
-		if differ && q.PromptTokens == 0 {
-			load += t.unseenLoad(now)
+		unread := t.unreadTokensOf(c.now, c.query, c.hashes, t == c.preferred)
+		load := float64(t.inFlight) + t.estimateOtherLoad(c.now)
+		if c.differ && c.query.PromptTokens == 0 {
+			load += t.unseenLoad(c.now)
 		}
-		work := workOf(t, float64(t.unreadTokens+t.peerUnreadTokens), unread, load, q.PromptTokens > 0)
-		factor := t.pace.factor * t.pace.slowdownAtMoment(now)
-		cost := p.cost(t, unread, load) + paceCost(paces, q, work, factor)
+		work := workOf(t, float64(t.unreadTokens+t.peerUnreadTokens), unread, load, c.query.PromptTokens > 0)
+		factor := t.pace.factor * t.pace.slowdownAtMoment(c.now)
+		cost := c.picker.cost(t, unread, load) + c.timeCost(work, factor)
 		if cost < lowest {
 			lowest, best = cost, t
-			choice = t.choiceOf(now, unread, int64(work))
-			choice.Expected = expectedTime(paces, work, factor)
+			choice = t.choiceOf(c.now, unread, int64(work))
+			choice.Expected = expectedTime(c.paces, work, factor)
 		}
 	}
-	if best == nil {
-		return PromptChoice{}, refusal.NotRun(refusal.CauseNoEndpoint, "service %s", q.Service).WithRetryAfter(p.retryAfter(now, q.Service))
-	}
-	choice.Candidates, choice.prefixHashes = candidates, hashes
-	return choice, nil
+	choice.Candidates = len(targets)
+	return best, choice
 }
 
 // choiceOf returns the choice of a target for a request that adds unread tokens.
