prepaid, direct: small bursts, young statements, and requests that wait for credit whose time is known

Statements early in a load allowed half of the rate, as the moving average still rose.

Change: bursts of 0.008 of a budget instead of 0.02; statements each 150 ms at least (300 before; at 120 routers and more as before); the reach sets in after 1.8 s whatever the budget, later only where statements are older (2.55 s at 360 routers); the mean rate counts from the first request; a request waits up to 2 s, and half of its time, for credit that is known to become available, counted with all that wait before it, instead of being refused.

TestCreditServesAFleetOfAnySize and TestTableOutageIsServedWithWitnesses keep their bounds; their requests now wait as the router's do, and what still waits at the end counts as refused.

--- a/direct/credit.go
+++ b/direct/credit.go
@@ -108,7 +108,7 @@
 	lateBefore := c.late.sum()
 	answer, nearest := c.askHolders(ctx, req)
 	if answer.result == prepaid.Short {
-		final := c.awaitRefill(ctx, req, holdsGrant, answer.answered > 0, nearest)
+		final := c.awaitRefill(ctx, req, holdsGrant, answer, nearest)
 		answer.result, answer.reservation = final.result, final.reservation
 		answer.retryAfter = soonest(answer.retryAfter, final.retryAfter)
 	}
@@ -119,20 +119,36 @@
 	return answer
 }
 
-// awaitRefill waits for a refill of this router's grant if it has one, or else of the grant
+// awaitRefill waits for credit of this router's grant if it has one, or else of the grant
 // of the nearest holder. If no holder answered, it waits for both, as the calls may have
 // failed because this router was late.
-func (c *fleetCredit) awaitRefill(ctx context.Context, req creditRequest, holdsGrant, answered bool, nearest prepaid.ProcessID) creditAnswer {
+func (c *fleetCredit) awaitRefill(ctx context.Context, req creditRequest, holdsGrant bool, asked creditAnswer, nearest prepaid.ProcessID) creditAnswer {
+	answered := asked.answered > 0
 	if answered && !holdsGrant {
-		answer, _ := c.reserveAt(ctx, nearest, req, creditWaitTimeout)
+		answer, _ := c.reserveAt(ctx, nearest, req, creditWait(ctx, asked.retryAfter))
 		return answer
 	}
 	if answered || nearest == (prepaid.ProcessID{}) {
-		return c.ownAnswer(req, c.service.Reserve(ctx, req.workspace, req.tokens, creditWaitTimeout))
+		wait := creditWait(ctx, c.service.AvailableIn(req.workspace, req.tokens))
+		return c.ownAnswer(req, c.service.Reserve(ctx, req.workspace, req.tokens, wait))
 	}
 	return c.awaitEither(ctx, req, nearest)
 }
 
+// maxAvailabilityWait bounds how long a request waits for credit that is known to become
+// available. It covers the delay of a statement's reach.
+const maxAvailabilityWait = 2 * time.Second
+
+// creditWait returns how long a request waits for credit that will be available in a time, 0
+// if that isn't known. A caller that is told to come back instead spends one of its retries,
+// so a request waits if half of its time is left then.
+func creditWait(ctx context.Context, availableIn time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); availableIn > maxAvailabilityWait || ok && availableIn > time.Until(deadline)/2 {
+		return creditWaitTimeout
+	}
+	return availableIn + creditWaitTimeout
+}
+
 // awaitEither waits for a refill here and at a holder at the same time.
 func (c *fleetCredit) awaitEither(ctx context.Context, req creditRequest, holder prepaid.ProcessID) creditAnswer {
 	ctx, cancel := context.WithCancel(ctx)
--- a/direct/lender.go
+++ b/direct/lender.go
@@ -23,7 +23,7 @@
 	sweepInterval = time.Second
 
 	// maxCreditWait bounds how long a call waits for a refill of the grant.
-	maxCreditWait = time.Second
+	maxCreditWait = maxAvailabilityWait + creditWaitTimeout
 )
 
 // lentKey identifies a reservation by the router that asked for it.
--- a/prepaid/account.go
+++ b/prepaid/account.go
@@ -106,6 +106,8 @@
 	// rateAt. warm is set once the rate was observed for longWindow.
 	shortRate, longRate float64
 	rateAt              time.Time
+	// observedSince is when the first request was observed.
+	observedSince time.Time
 	// callRate is a moving average of the reservations a second at other holders, over
 	// shortWindow.
 	callRate float64
@@ -138,6 +140,9 @@
 // observe adds the tokens of a request to the estimated rate.
 func (a *account) observe(now time.Time, tokens int64) {
 	a.decay(now)
+	if a.observedSince.IsZero() {
+		a.observedSince = now
+	}
 	a.shortRate += float64(tokens) / shortWindow.Seconds()
 	a.longRate += float64(tokens) / longWindow.Seconds()
 	a.largestReservation = max(a.largestReservation, float64(tokens))
@@ -163,6 +168,20 @@
 	return max(a.shortRate, a.longRate)
 }
 
+// minObserved is the least time over which a mean rate is estimated.
+const minObserved = 2 * time.Second
+
+// meanRate returns the mean rate over longWindow. While requests come, it is the mean since the
+// first one if that is later: the moving average only grows to the rate in that time.
+func (a *account) meanRate(now time.Time) float64 {
+	a.decay(now)
+	if now.Sub(a.usedAt) > shortWindow {
+		return a.longRate
+	}
+	observed := max(now.Sub(a.observedSince), minObserved)
+	return a.longRate / (1 - math.Exp(-observed.Seconds()/longWindow.Seconds()))
+}
+
 // grantClosed records that the grant ended and that the spending which was retired
 // with it no longer counts against it.
 func (a *account) grantClosed() {
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -227,6 +227,14 @@
 	return nil
 }
 
+// nearestHolder returns the process at which a request of a router waits for credit.
+func (f *fleetWorld) nearestHolder(m prepaid.Member) *process {
+	if own := f.processes[m.VM]; !f.viaHolders || own.book.Holds(workspace) {
+		return own
+	}
+	return f.processes[f.fleet.Candidates(workspace, m)[0].VM]
+}
+
 // waitingRequest is a request that waits for credit until a time.
 type waitingRequest struct {
 	at     prepaid.Member
@@ -234,6 +242,32 @@
 	until  time.Time
 	// waitsAt are the processes at which it waits for a refill, for one at a pressed router.
 	waitsAt []*process
+	// waitsFor is the holder at which it waits for credit, nil before its first try.
+	waitsFor *process
+}
+
+// maxAvailabilityWait is how long a request waits at most for credit that is known to become
+// available, see direct.creditWait.
+const maxAvailabilityWait = 2 * time.Second
+
+// wait makes a request wait at a holder as the router does: for a refill, and for credit of which
+// the time is known.
+func (r *waitingRequest) wait(now time.Time, p *process, reserves int64) {
+	if r.waitsFor != nil {
+		return
+	}
+	r.waitsFor = p
+	if in := p.book.AvailableIn(now, workspace, reserves); in <= maxAvailabilityWait {
+		r.until = r.until.Add(in)
+	}
+	p.book.AddWaiting(workspace, reserves)
+}
+
+// endWait ends the wait of a request that was served or refused.
+func (r *waitingRequest) endWait(reserves int64) {
+	if r.waitsFor != nil {
+		r.waitsFor.book.AddWaiting(workspace, -reserves)
+	}
 }
 
 // run plays some seconds of the load.
@@ -261,11 +295,17 @@
 			if f.surge.pressed[r.at.VM] {
 				reserve = func() *process { return f.surge.reserve(f, &r) }
 			}
+			reserves := r.tokens * max(f.reserveFactor, 1)
 			if p := reserve(); p != nil {
+				r.endWait(reserves)
 				f.begin(p, r.tokens)
 				continue
 			}
+			if !f.surge.pressed[r.at.VM] {
+				r.wait(f.now, f.nearestHolder(r.at), reserves)
+			}
 			if f.now.After(r.until) {
+				r.endWait(reserves)
 				f.result.refused += r.tokens
 				continue
 			}
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -168,38 +168,63 @@
 
 // Reserve holds tokens for a request. If the grant doesn't cover them, it waits at most
 // wait for a refill. While the table is unavailable or slow, it waits only if the
-// witness could allow the spending.
+// witness could allow the spending by then.
 func (s *Service) Reserve(ctx context.Context, workspace string, tokens int64, wait time.Duration) ReserveResult {
-	var timeout <-chan time.Time
+	until := time.Now().Add(wait)
+	result, w := s.tryReserve(workspace, tokens, until, false)
+	if w == nil {
+		return result
+	}
+	defer s.endWaiting(workspace, tokens)
 	for {
-		s.mu.Lock()
-		result := s.book.Reserve(time.Now(), workspace, tokens)
-		changed := s.changed
-		tableUnavailable := s.statementsFailing || s.statementBusy && time.Since(s.statementBusySince) > slowStatementAfter
-		witnessCanHelp := s.witnessAnswers() && s.book.withinReach(time.Now(), workspace, tokens)
-		waits := result == Short && (!tableUnavailable || witnessCanHelp)
-		if waits && timeout == nil {
-			s.book.AddWaiting(workspace, tokens)
-			defer s.endWaiting(workspace, tokens)
-		}
-		s.mu.Unlock()
-		if !waits {
-			return result
-		}
 		s.wake()
-		if timeout == nil {
-			timer := time.NewTimer(wait)
-			defer timer.Stop()
-			timeout = timer.C
-		}
 		select {
-		case <-changed:
-		case <-timeout:
-			return Short
+		case <-w.changed:
+		case <-time.After(min(time.Until(until), w.reachIn)):
 		case <-ctx.Done():
 			return Short
 		}
+		if result, w = s.tryReserve(workspace, tokens, until, true); w == nil {
+			return result
+		}
+	}
+}
+
+// creditWait is what a request waits for.
+type creditWait struct {
+	// changed is closed when the request should try again.
+	changed <-chan struct{}
+	// reachIn is the time until the witness may allow the spending.
+	reachIn time.Duration
+}
+
+// tryReserve tries a reservation. It returns what the request should wait for if the tokens
+// may be available by a time, else nil. waiting is set if the request already waits.
+func (s *Service) tryReserve(workspace string, tokens int64, until time.Time, waiting bool) (ReserveResult, *creditWait) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	result := s.book.Reserve(now, workspace, tokens)
+	if result != Short || !now.Before(until) {
+		return result, nil
+	}
+	ahead := tokens
+	if waiting {
+		ahead = 0
+	}
+	reachIn, reaches := s.book.ReachIn(now, workspace, ahead)
+	reaches = reaches && s.witnessAnswers() && now.Add(reachIn).Before(until)
+	tableUnavailable := s.statementsFailing || s.statementBusy && now.Sub(s.statementBusySince) > slowStatementAfter
+	if tableUnavailable && !reaches {
+		return Short, nil
+	}
+	if !reaches || reachIn == 0 {
+		reachIn = until.Sub(now)
+	}
+	if !waiting {
+		s.book.AddWaiting(workspace, tokens)
 	}
+	return Short, &creditWait{changed: s.changed, reachIn: reachIn}
 }
 
 // endWaiting records that a request no longer waits for credit.
--- a/prepaid/statement.go
+++ b/prepaid/statement.go
@@ -129,7 +129,7 @@
 	// burstShare is the largest part of a budget that the bursts of all holders together
 	// allow while the budget is low. A budget loses that much when all holders die at once,
 	// so it must stay below the 3% of a budget that need not be usable.
-	burstShare = 0.02
+	burstShare = 0.008
 
 	// unusedBurstShare is the largest part of a budget that the bursts of all holders
 	// together allow while nothing was spent.
@@ -145,13 +145,13 @@
 	// process starts within 1 to 2 s. While a budget is low, no more than the burst may be
 	// lost until then. Otherwise the rate sets in sooner, so that a table outage causes few
 	// refusals.
-	lowBudgetDelay = 2200 * time.Millisecond
+	lowBudgetDelay = 1800 * time.Millisecond
 	ordinaryDelay  = time.Second
 
 	// The time between two statements while credit is spent grows with the number of
 	// processes, so that all of them together write at most some hundred rows a second.
 	intervalPerProcess   = 2500 * time.Microsecond
-	minStatementInterval = 300 * time.Millisecond
+	minStatementInterval = 150 * time.Millisecond
 	maxStatementInterval = time.Second
 
 	// renewBurstShare is the unspent part of a burst below which the next statement is due.
@@ -161,6 +161,10 @@
 	// workspace's rate isn't known. It uses up a day's budget in some minutes.
 	coldRateShare = 0.004
 
+	// startMargin is what a statement is older than its interval, and a successor later than the
+	// restart, at most.
+	startMargin = 150 * time.Millisecond
+
 	// restartTime is how long a killed process is down: 0.5 to 1.5 s on the deployments.
 	restartTime = 1500 * time.Millisecond
 
@@ -173,7 +177,7 @@
 // newEntry returns the bounds of a workspace for the next statement.
 func (b *Book) newEntry(now time.Time, a *account) Entry {
 	a.decay(now)
-	rate := rateHeadroom * a.longRate
+	rate := rateHeadroom * a.meanRate(now)
 	burstRate := max(rate, a.rate(now))
 	if !a.warm {
 		coldRate := coldRateShare * float64(a.budget)
@@ -197,7 +201,7 @@
 		DelayMS: delay.Milliseconds(),
 	}
 	if b.nextWitness != nil {
-		e.addReach(a, rate, max(delay, reachDelay))
+		e.addReach(a, rate, max(delay, reachDelay, b.statementInterval()+restartTime+startMargin))
 	}
 	return e
 }
--- a/prepaid/view.go
+++ b/prepaid/view.go
@@ -96,25 +96,24 @@
 }
 
 // AvailableIn returns the time until the statement in force allows a workspace to spend
-// the given tokens without another write, 0 if it already does or never will.
+// the given tokens, beside those of all requests that wait, without another write, 0 if it
+// already does or never will.
 func (b *Book) AvailableIn(now time.Time, workspace string, tokens int64) time.Duration {
+	if b.Witness() != nil {
+		in, _ := b.ReachIn(now, workspace, tokens)
+		return in
+	}
 	a := b.accounts[workspace]
 	if a == nil || b.confirmed == nil || a.unspent() < tokens {
 		return 0
 	}
 	e := b.confirmed.statement.Entries[workspace]
-	missing := tokens + a.spent + a.reserved - e.Base - e.Burst
-	delay, perSecond := e.DelayMS, e.Rate
-	if b.Witness() != nil {
-		missing -= e.Reach
-		delay, perSecond = e.ReachDelayMS, e.ReachRate
-	}
-	at := time.Duration(delay) * time.Millisecond
-	if missing > 0 {
-		if perSecond <= 0 {
+	at := time.Duration(e.DelayMS) * time.Millisecond
+	if missing := a.spent + a.reserved + a.waiting + tokens - e.Base - e.Burst; missing > 0 {
+		if e.Rate <= 0 {
 			return 0
 		}
-		at += time.Duration(float64(missing) / float64(perSecond) * float64(time.Second))
+		at += time.Duration(float64(missing) / float64(e.Rate) * float64(time.Second))
 	}
 	return max(at-b.statementAge(now), 0)
 }
--- a/prepaid/witness.go
+++ b/prepaid/witness.go
@@ -158,15 +158,33 @@
 	return limits
 }
 
-// withinReach reports whether the given tokens could be spent now if the witness
-// acknowledged them.
-func (b *Book) withinReach(now time.Time, workspace string, tokens int64) bool {
+// ReachIn returns the time until the given tokens, beside those of all requests that wait,
+// could be spent if the witness acknowledged them. It returns false if the statement in force
+// never allows it or the grant doesn't cover them.
+func (b *Book) ReachIn(now time.Time, workspace string, tokens int64) (time.Duration, bool) {
 	a := b.accounts[workspace]
-	if a == nil || b.confirmed == nil {
-		return false
+	if a == nil || b.Witness() == nil || a.unspent() < tokens {
+		return 0, false
 	}
-	reach := b.confirmed.statement.Entries[workspace].reachLimit(now.Sub(b.confirmed.madeAt))
-	return min(reach, a.amount)-a.spent-a.reserved >= tokens
+	at, ok := b.confirmed.statement.Entries[workspace].reachedAt(a.spent + a.reserved + a.waiting + tokens)
+	return max(at-b.statementAge(now), 0), ok
+}
+
+// reachedAt returns the age of the statement from which the witness may acknowledge a limit.
+// It returns false if there is none.
+func (e Entry) reachedAt(limit int64) (time.Duration, bool) {
+	if limit <= e.Base+e.Burst {
+		return 0, true
+	}
+	at := time.Duration(e.ReachDelayMS) * time.Millisecond
+	missing := limit - e.Base - e.Burst - e.Reach
+	switch {
+	case missing <= 0:
+		return at, true
+	case e.ReachRate <= 0:
+		return 0, false
+	}
+	return at + time.Duration(float64(missing)/float64(e.ReachRate)*float64(time.Second)), true
 }
 
 // LimitsAcknowledged records that a witness knows limits. It ignores processes other than
--- a/prepaid/witness_test.go
+++ b/prepaid/witness_test.go
@@ -1,6 +1,7 @@
 package prepaid_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -29,29 +30,63 @@
 
 // runMixedLoad lets all processes spend at tokensPerSecond for some seconds in requests of
 // different sizes, and returns the number of tokens refused. If tableDown is set, the table
-// is unavailable, and the witnesses answer.
+// is unavailable, and the witnesses answer. Requests wait as they do at a router: at most for
+// maxAvailabilityWait, and only for credit of which the time is known.
 func (w *world) runMixedLoad(seconds float64, tableDown bool) (refusedTokens int64) {
 	const step, steps = 50 * time.Millisecond, 8
+	var waiting []*mixedRequest
 	for i := range int(seconds / step.Seconds()) {
 		w.now = w.now.Add(step)
 		for n, vm := range vms {
 			w.renewCredit(vm, tableDown)
-			if (i+n)%steps != 0 {
-				continue
-			}
-			tokens := requestSizes[(i/steps+3*n)%len(requestSizes)]
-			if !w.spendOnce(vm, tokens) {
-				// The service would wait for the witness or the table.
-				w.renewCredit(vm, tableDown)
-				if !w.spendOnce(vm, tokens) {
-					refusedTokens += tokens
-				}
+			if (i+n)%steps == 0 {
+				waiting = append(waiting, &mixedRequest{vm: vm, tokens: requestSizes[(i/steps+3*n)%len(requestSizes)]})
 			}
 		}
+		waiting = slices.DeleteFunc(waiting, func(r *mixedRequest) bool {
+			served, refused := w.tryMixed(r, tableDown)
+			if refused {
+				refusedTokens += r.tokens
+			}
+			return served || refused
+		})
+	}
+	for _, r := range waiting {
+		refusedTokens += r.tokens
 	}
 	return refusedTokens
 }
 
+// mixedRequest is a request that may wait for credit until a time, zero if it doesn't wait yet.
+type mixedRequest struct {
+	vm     string
+	tokens int64
+	until  time.Time
+}
+
+// tryMixed tries a request. It is refused if the credit isn't available in time.
+func (w *world) tryMixed(r *mixedRequest, tableDown bool) (served, refused bool) {
+	book := w.processes[r.vm].book
+	if !w.spendOnce(r.vm, r.tokens) {
+		// The service asks the witness or the table.
+		w.renewCredit(r.vm, tableDown)
+		if !w.spendOnce(r.vm, r.tokens) {
+			if in := book.AvailableIn(w.now, workspace, r.tokens); r.until.IsZero() && in > 0 && in <= maxAvailabilityWait {
+				r.until = w.now.Add(in)
+				book.AddWaiting(workspace, r.tokens)
+			}
+			if w.now.Before(r.until) {
+				return false, false
+			}
+			refused = true
+		}
+	}
+	if !r.until.IsZero() {
+		book.AddWaiting(workspace, -r.tokens)
+	}
+	return !refused, refused
+}
+
 // spendOnce reserves and uses tokens, and reports whether the reservation succeeded.
 func (w *world) spendOnce(vm string, tokens int64) bool {
 	book := w.processes[vm].book
