--- a/prepaid/witness_test.go
+++ b/prepaid/witness_test.go
@@ -67,24 +67,20 @@
 // tryMixed tries a request. It is refused if the credit isn't available in time.
 func (w *world) tryMixed(r *mixedRequest, tableDown bool) (served, refused bool) {
 	book := w.processes[r.vm].book
-	if !w.spendOnce(r.vm, r.tokens) {
+	served = w.spendOnce(r.vm, r.tokens)
+	if !served {
 		// The service asks the witness or the table.
 		w.renewCredit(r.vm, tableDown)
-		if !w.spendOnce(r.vm, r.tokens) {
-			if in := book.AvailableIn(w.now, workspace, r.tokens); r.until.IsZero() && in > 0 && in <= maxAvailabilityWait {
-				r.until = w.now.Add(in)
-				book.AddWaiting(workspace, r.tokens)
-			}
-			if w.now.Before(r.until) {
-				return false, false
-			}
-			refused = true
-		}
+		served = w.spendOnce(r.vm, r.tokens)
+	}
+	if in := book.AvailableIn(w.now, workspace, r.tokens); !served && r.until.IsZero() && in > 0 && in <= maxAvailabilityWait {
+		r.until = w.now.Add(in)
+		book.AddWaiting(workspace, r.tokens)
 	}
-	if !r.until.IsZero() {
+	if refused = !served && !w.now.Before(r.until); (served || refused) && !r.until.IsZero() {
 		book.AddWaiting(workspace, -r.tokens)
 	}
-	return !refused, refused
+	return served, refused
 }
 
 // spendOnce reserves and uses tokens, and reports whether the reservation succeeded.
