direct: holders are asked again after the wait, which takes 1.2 s at most

A request waited for this router's grant alone, while a caller that came back was offered the credit of all holders.

Change: a request that waited in vain asks the other holders once more; it waits 1.2 s at most.

--- a/direct/credit.go
+++ b/direct/credit.go
@@ -109,6 +109,12 @@
 	answer, nearest := c.askHolders(ctx, req)
 	if answer.result == prepaid.Short {
 		final := c.awaitRefill(ctx, req, holdsGrant, answer, nearest)
+		if final.result == prepaid.Short {
+			// Another holder may have credit by now.
+			retryAfter := final.retryAfter
+			final, _ = c.askHolders(ctx, req)
+			final.retryAfter = soonest(final.retryAfter, retryAfter)
+		}
 		answer.result, answer.reservation = final.result, final.reservation
 		answer.retryAfter = soonest(answer.retryAfter, final.retryAfter)
 	}
@@ -136,8 +142,8 @@
 }
 
 // maxAvailabilityWait bounds how long a request waits for credit that is known to become
-// available. It covers the delay of a statement's reach.
-const maxAvailabilityWait = 2 * time.Second
+// available: what is left of the delay of a statement's reach once its burst is spent.
+const maxAvailabilityWait = 1200 * time.Millisecond
 
 // creditWait returns how long a request waits for credit that will be available in a time, 0
 // if that isn't known. A caller that is told to come back instead spends one of its retries,
--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -248,7 +248,7 @@
 
 // maxAvailabilityWait is how long a request waits at most for credit that is known to become
 // available, see direct.creditWait.
-const maxAvailabilityWait = 2 * time.Second
+const maxAvailabilityWait = 1200 * time.Millisecond
 
 // wait makes a request wait at a holder as the router does: for a refill, and for credit of which
 // the time is known.
