direct: a request lost on a kept connection counts as a crash again

Cause, found in reading the diff: a request whose kept connection ended without a byte of a response counted neither as a failure nor as a crash, as the endpoint may only have closed the connection. But an endpoint that crashes on the request looks the same, so that requests and prompt parts that crash endpoints would not have been quarantined once their connections were kept.

Change: it counts like any lost request. Besides, a caller that leaves no longer closes the other connections to its endpoint.

Test: TestProofARequestLostOnAKeptConnectionRunsAtMostOnce checks that the crash is recorded. It checked before that the endpoint doesn't count as failed, which was the fault.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -166,9 +166,6 @@
 		a.outcome, a.err, a.unreachable = outcomeNotSent, errors.WithStack(err), ctx.Err() == nil
 	default:
 		a.breakOff(errors.WithStack(err))
-		if a.lostConn() {
-			a.crashed, a.blameless = false, true
-		}
 	}
 	if ctx.Err() != nil && (a.outcome == outcomeNotSent || a.outcome == outcomeBroken) {
 		a.cancelled()
@@ -199,7 +196,8 @@
 		if err == nil || sent || !a.conn.reused() || a.overtaken.Load() != nil || a.timer.ctx.Err() != nil {
 			return resp, sent, err
 		}
-		pool.failed(a.conn, true, false)
+		pool.unanswered(a.conn)
+		_ = a.conn.Close()
 		a.conn = nil
 		if req.Body != nil {
 			req.Body = io.NopCloser(bytes.NewReader(x.body))
@@ -207,15 +205,25 @@
 	}
 }
 
-// endConn ends the attempt's use of its connection. An endpoint that wants no more requests gets
-// none on kept connections either.
+// endConn ends the attempt's use of its connection. An endpoint that failed, or wants no more
+// requests, gets none on other kept connections either.
 func (x *exchange) endConn(a *attempt) {
+	if a.conn == nil {
+		return
+	}
+	pool, unwanted := x.router.conns, a.meta.Leaving || a.meta.RetryAfter > 0
 	switch {
-	case a.conn == nil:
-	case a.outcome == outcomeAnswered && !a.meta.Leaving && a.meta.RetryAfter <= 0:
-		x.router.conns.finish(a.conn, a.meta.KeepAlive)
-	default:
-		x.router.conns.failed(a.conn, a.outcome == outcomeBroken && !a.request.answered.Load(), a.foreign)
+	case a.outcome == outcomeAnswered && !unwanted:
+		pool.finish(a.conn, a.meta.KeepAlive)
+		return
+	case a.outcome == outcomeBroken && a.foreign:
+		pool.distrust(a.conn)
+	case a.outcome == outcomeBroken && !a.request.answered.Load():
+		pool.unanswered(a.conn)
+	}
+	_ = a.conn.Close()
+	if unwanted || a.outcome == outcomeBroken || a.outcome == outcomeNotSent {
+		pool.closeProcess(a.conn.process)
 	}
 }
 
@@ -227,10 +235,6 @@
 	return a.conn.idled
 }
 
-// lostConn reports whether a kept connection ended before any byte of the response: its endpoint
-// has closed it, and needn't have failed.
-func (a *attempt) lostConn() bool { return a.conn.reused() && !a.request.answered.Load() }
-
 // breakOff records that the response couldn't be read to its end. This counts as a crash of
 // the endpoint, unless the response was too slow.
 func (a *attempt) breakOff(err error) {
--- a/direct/connpool.go
+++ b/direct/connpool.go
@@ -172,26 +172,16 @@
 	}
 }
 
-// closeAll closes the idle connections to all processes but those for which keep returns true.
-func (p *connPool) closeAll(keep func(keepalive.Process) bool) {
+// closeProcess closes the idle connections to a process.
+func (p *connPool) closeProcess(process keepalive.Process) {
 	p.mu.Lock()
-	var closed []*endpointConn
-	for process, conns := range p.idle {
-		if !keep(process) {
-			closed = append(closed, conns...)
-		}
-	}
+	conns := slices.Clone(p.idle[process])
 	p.mu.Unlock()
-	for _, c := range closed {
+	for _, c := range conns {
 		p.closeIdle(c)
 	}
 }
 
-// closeProcess closes the idle connections to one process.
-func (p *connPool) closeProcess(process keepalive.Process) {
-	p.closeAll(func(other keepalive.Process) bool { return other != process })
-}
-
 // setEndpoints closes the connections to processes that are no longer listed.
 func (p *connPool) setEndpoints(list []routing.PromptEndpoint) {
 	listed := make(map[keepalive.Process]bool, len(list))
@@ -200,25 +190,32 @@
 	}
 	p.mu.Lock()
 	p.tracker.Retain(func(process keepalive.Process) bool { return listed[process] })
+	var gone []keepalive.Process
+	for process := range p.idle {
+		if !listed[process] {
+			gone = append(gone, process)
+		}
+	}
 	p.mu.Unlock()
-	p.closeAll(func(process keepalive.Process) bool { return listed[process] })
+	for _, process := range gone {
+		p.closeProcess(process)
+	}
 }
 
-// failed closes a connection whose request got no complete response, and the idle ones to the same
-// process: their endpoint may be gone. unanswered is set if the connection brought no byte of a
-// response, foreign if what it brought belongs to another request.
-func (p *connPool) failed(c *endpointConn, unanswered, foreign bool) {
-	if c.reused() {
-		p.mu.Lock()
-		if unanswered {
-			p.lostInUse.Inc(1)
-			p.tracker.Lost(c.process, c.idled)
-		}
-		if foreign {
-			p.tracker.Distrust(time.Now(), c.process)
-		}
-		p.mu.Unlock()
+// unanswered records that a connection ended without a byte of a response to its request.
+func (p *connPool) unanswered(c *endpointConn) {
+	if !c.reused() {
+		return
 	}
-	_ = c.Close()
-	p.closeProcess(c.process)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lostInUse.Inc(1)
+	p.tracker.Lost(c.process, c.idled)
+}
+
+// distrust records that a connection brought what isn't the response to its request.
+func (p *connPool) distrust(c *endpointConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tracker.Distrust(time.Now(), c.process)
 }
--- a/direct/connpool_test.go
+++ b/direct/connpool_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -147,11 +148,11 @@
 		if got.status != want || runs.Load() != 1 {
 			t.Errorf("%s: status %d, want %d; %d runs at the first endpoint", path, got.status, want, runs.Load())
 		}
-		g.router.mu.Lock()
-		if failures := g.router.picker.Status()[0].Failures; failures > 0 {
-			t.Errorf("%s: the endpoint counts as failed", path)
+		// The endpoint may have crashed on the request, which a quarantine has to learn.
+		entries, _ := g.router.quarantine.snapshot()
+		if crashed := slices.ContainsFunc(entries, func(e crashEntry) bool { return e.Endpoint == "e0" }); !crashed {
+			t.Errorf("%s: no crash of the endpoint is recorded", path)
 		}
-		g.router.mu.Unlock()
 	}
 }
 
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -171,7 +171,7 @@
 // witness could allow the spending by then.
 func (s *Service) Reserve(ctx context.Context, workspace string, tokens int64, wait time.Duration) ReserveResult {
 	until := time.Now().Add(wait)
-	result, w := s.tryReserve(workspace, tokens, until, false)
+	result, w := s.reserveOrWait(workspace, tokens, until, false)
 	if w == nil {
 		return result
 	}
@@ -184,7 +184,7 @@
 		case <-ctx.Done():
 			return Short
 		}
-		if result, w = s.tryReserve(workspace, tokens, until, true); w == nil {
+		if result, w = s.reserveOrWait(workspace, tokens, until, true); w == nil {
 			return result
 		}
 	}
@@ -198,9 +198,9 @@
 	reachIn time.Duration
 }
 
-// tryReserve tries a reservation. It returns what the request should wait for if the tokens
+// reserveOrWait tries a reservation. It returns what the request should wait for if the tokens
 // may be available by a time, else nil. waiting is set if the request already waits.
-func (s *Service) tryReserve(workspace string, tokens int64, until time.Time, waiting bool) (ReserveResult, *creditWait) {
+func (s *Service) reserveOrWait(workspace string, tokens int64, until time.Time, waiting bool) (ReserveResult, *creditWait) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
