--- a/prepaid/fleet_test.go
+++ b/prepaid/fleet_test.go
@@ -68,7 +68,9 @@
 	// viaHolders is set if requests at routers that aren't holders reserve at holders.
 	viaHolders bool
 	down       bool
-	writes     []accountWrite
+	// dead are the VMs whose processes don't run.
+	dead   map[string]bool
+	writes []accountWrite
 	// partFree is when the account's part takes the next write.
 	partFree time.Time
 	retryAt  map[string]time.Time
@@ -156,6 +158,9 @@
 	f.now = f.now.Add(fleetStep)
 	f.commitDueWrites()
 	for _, m := range f.members {
+		if f.dead[m.VM] {
+			continue
+		}
 		f.deliverAnnouncement(m.VM, f.processes[m.VM].book.Announcement(f.now), false)
 	}
 	if f.down {
@@ -163,6 +168,9 @@
 	}
 	for _, m := range f.members {
 		p, stored := f.processes[m.VM], f.statements[m.VM]
+		if f.dead[m.VM] {
+			continue
+		}
 		f.startBook(m.VM)
 		if p.book.StatementDue(f.now) && f.surge.mayWriteStatement(f.now, m.VM) {
 			s, version := p.book.NextStatement(f.now, f.tableNow())
--- a/prepaid/kills_test.go
+++ b/prepaid/kills_test.go
@@ -1,6 +1,7 @@
 package prepaid_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,16 +13,25 @@
 
 // killAll kills all processes at once and starts their successors after restartTime. It
 // returns the tokens that the successors retire beyond those that were spent.
-func (f *fleetWorld) killAll() (charged int64) {
-	f.now = f.now.Add(restartTime)
-	for _, m := range f.members {
+func (f *fleetWorld) killAll() (charged int64) { return f.killFirst(len(f.members)) }
+
+// killFirst does so with the first n processes.
+func (f *fleetWorld) killFirst(n int) (charged int64) {
+	killed := make(map[string]bool)
+	for _, m := range f.members[:n] {
+		killed[m.VM] = true
+	}
+	f.dead = killed
+	f.tickFor(restartTime)
+	f.dead = nil
+	for _, m := range f.members[:n] {
 		f.kill(m.VM)
 		fewHold(f, m.VM, f.processes[m.VM].book)
 		delete(f.retryAt, m.VM)
 		delete(f.failures, m.VM)
 		delete(f.busy, m.VM)
 	}
-	f.writes = nil
+	f.writes = slices.DeleteFunc(f.writes, func(w accountWrite) bool { return killed[w.vm] })
 	for i, m := range f.members {
 		witness := f.processes[f.members[(i+1)%len(f.members)].VM].id
 		f.processes[m.VM].book.SetWitness(&witness)
@@ -112,6 +122,45 @@
 	}
 }
 
+// TestProofADayOfFaultsChargesLittle plays a day with a cut of all routers from the table, a kill
+// of all and a kill of a third. It guards against losses that are small each and add up. The stated
+// bound: 3% of the budget over the whole day, beyond what was spent, as a refusal is owed until 97%
+// of a budget is used.
+func TestProofADayOfFaultsChargesLittle(t *testing.T) {
+	for _, n := range []int{5, 27} {
+		for seed := range uint64(4) {
+			f := newFleetWorld(n, seed, true, fewHold)
+			f.tickFor(4 * time.Second)
+			f.run(5)
+			f.down = true
+			f.run(8)
+			f.down = false
+			f.run(5)
+			f.killAll()
+			f.run(5)
+			f.killFirst((n + 2) / 3)
+			f.run(3)
+			charged := f.account.row.Retired - f.spentByPredecessors()
+			t.Logf("%d routers, seed %d: %.3f of the budget used, %.3f charged beyond", n, seed,
+				float64(f.spent)/float64(f.budget), float64(charged)/float64(f.budget))
+			if limit := 3 * f.budget / 100; charged < 0 || charged > limit {
+				t.Errorf("%d routers, seed %d: %d tokens charged beyond those spent, want 0 to %d", n, seed, charged, limit)
+			}
+		}
+	}
+}
+
+// spentByPredecessors returns the tokens that were spent by processes whose grants are retired.
+func (f *fleetWorld) spentByPredecessors() int64 {
+	spent := f.spent
+	for _, p := range f.processes {
+		for _, v := range p.book.Accounts() {
+			spent -= v.Spent
+		}
+	}
+	return spent
+}
+
 // TestProofAKillOfAnIdleFleetChargesLittle guards against statements that allow ever more the
 // longer nothing is spent. The first fleet never spends, the second one spends for 15 s and
 // is idle then. The stated bound is that of a kill under load.
