--- a/direct/connpool_test.go
+++ b/direct/connpool_test.go
@@ -81,11 +81,7 @@
 // rawEndpoint serves each connection by a function that gets the number of the connection.
 func rawEndpoint(t *testing.T, id string, serve func(conn net.Conn, requests *bufio.Reader, n int)) catalog.Endpoint {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := listenOnLoopback(t)
 	go func() {
 		for n := 1; ; n++ {
 			conn, err := listener.Accept()
--- a/direct/endless_test.go
+++ b/direct/endless_test.go
@@ -26,11 +26,7 @@
 // listen starts the endpoint and returns its address.
 func (e *endlessEndpoint) listen(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := listenOnLoopback(t)
 	go func() {
 		for {
 			conn, err := listener.Accept()
--- a/direct/fakes_test.go
+++ b/direct/fakes_test.go
@@ -181,6 +181,17 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
+// listenOnLoopback returns a listener that ends with the test.
+func listenOnLoopback(t testing.TB) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
 // runs returns the number of requests that reached an endpoint.
 func (g *testRouter) runs() int {
 	g.mu.Lock()
--- a/direct/unframed_test.go
+++ b/direct/unframed_test.go
@@ -14,11 +14,7 @@
 // nor chunks and closes the connection after body.
 func newUnframedRouter(t *testing.T, body string) *testRouter {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := listenOnLoopback(t)
 	go func() {
 		for {
 			conn, err := listener.Accept()
