--- a/direct/unframed_test.go
+++ b/direct/unframed_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
