--- a/direct/connpool_test.go
+++ b/direct/connpool_test.go
@@ -78,19 +78,19 @@
 	}
 }
 
-// rawEndpoint serves each connection by a function that gets the number of the connection.
-func rawEndpoint(t *testing.T, id string, serve func(conn net.Conn, requests *bufio.Reader, n int)) catalog.Endpoint {
+// rawEndpoint starts an endpoint that serves each connection by a function.
+func rawEndpoint(t *testing.T, id string, serve func(conn net.Conn, requests *bufio.Reader)) catalog.Endpoint {
 	t.Helper()
 	listener := listenOnLoopback(t)
 	go func() {
-		for n := 1; ; n++ {
+		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				serve(conn, bufio.NewReader(conn), n)
+				serve(conn, bufio.NewReader(conn))
 			}()
 		}
 	}()
@@ -118,7 +118,7 @@
 func TestProofARequestLostOnAKeptConnectionRunsAtMostOnce(t *testing.T) {
 	for path, want := range map[string]int{"/read/b": http.StatusOK, "/book/b": http.StatusBadGateway} {
 		var runs atomic.Int32
-		serve := func(conn net.Conn, requests *bufio.Reader, _ int) {
+		serve := func(conn net.Conn, requests *bufio.Reader) {
 			id, _ := readRequest(requests)
 			if id == "second" {
 				runs.Add(1)
@@ -133,7 +133,7 @@
 		g.router.ReplaceEndpoints([]catalog.Endpoint{rawEndpoint(t, "e0", serve)})
 		g.send(http.MethodGet, "/read/a", "", "T-Id", "first")
 		// The lost attempt excludes its endpoint, so that the next one needs another.
-		g.router.PutEndpoint(rawEndpoint(t, "e1", func(conn net.Conn, requests *bufio.Reader, _ int) {
+		g.router.PutEndpoint(rawEndpoint(t, "e1", func(conn net.Conn, requests *bufio.Reader) {
 			id, _ := readRequest(requests)
 			answer(conn, id, "elsewhere")
 		}))
@@ -157,7 +157,7 @@
 func TestAConnectionThatTheEndpointClosedTakesNoRequest(t *testing.T) {
 	closed := make(chan struct{}, 2)
 	g := newTestRouter(t, 0, nil)
-	g.router.ReplaceEndpoints([]catalog.Endpoint{rawEndpoint(t, "e0", func(conn net.Conn, requests *bufio.Reader, _ int) {
+	g.router.ReplaceEndpoints([]catalog.Endpoint{rawEndpoint(t, "e0", func(conn net.Conn, requests *bufio.Reader) {
 		id, _ := readRequest(requests)
 		answer(conn, id, "done")
 		time.Sleep(50 * time.Millisecond)
@@ -202,7 +202,7 @@
 func TestProofLateSurplusBytesAreNoResponse(t *testing.T) {
 	for name, surplusID := range map[string]string{"with the ID of the earlier request": "r0", "without an ID": ""} {
 		g := newTestRouter(t, 0, nil)
-		g.router.ReplaceEndpoints([]catalog.Endpoint{rawEndpoint(t, "e0", func(conn net.Conn, requests *bufio.Reader, _ int) {
+		g.router.ReplaceEndpoints([]catalog.Endpoint{rawEndpoint(t, "e0", func(conn net.Conn, requests *bufio.Reader) {
 			for {
 				id, ok := readRequest(requests)
 				if !ok {
