--- a/direct/connpool.go
+++ b/direct/connpool.go
@@ -121,8 +121,9 @@
 	}
 }
 
-// updateState reports whether the connection has to be closed, which calls stateChanged again.
-func (p *connPool) updateState(c *endpointConn) (surplus bool) {
+// updateState reports whether the connection must be closed, as it can't be kept. Closing it with
+// the lock held would call stateChanged, which takes the lock.
+func (p *connPool) updateState(c *endpointConn) (mustClose bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch ended := c.Err() != nil; {
--- a/prepaid/service.go
+++ b/prepaid/service.go
@@ -171,20 +171,20 @@
 // witness could allow the spending by then.
 func (s *Service) Reserve(ctx context.Context, workspace string, tokens int64, wait time.Duration) ReserveResult {
 	until := time.Now().Add(wait)
-	result, w := s.reserveOrWait(workspace, tokens, until, false)
-	if w == nil {
+	result, pending := s.reserveOrWait(workspace, tokens, until, false)
+	if pending == nil {
 		return result
 	}
 	defer s.endWaiting(workspace, tokens)
 	for {
 		s.wake()
 		select {
-		case <-w.changed:
-		case <-time.After(min(time.Until(until), w.reachIn)):
+		case <-pending.changed:
+		case <-time.After(min(time.Until(until), pending.reachIn)):
 		case <-ctx.Done():
 			return Short
 		}
-		if result, w = s.reserveOrWait(workspace, tokens, until, true); w == nil {
+		if result, pending = s.reserveOrWait(workspace, tokens, until, true); pending == nil {
 			return result
 		}
 	}
@@ -208,11 +208,12 @@
 	if result != Short || !now.Before(until) {
 		return result, nil
 	}
-	ahead := tokens
+	uncounted := tokens
 	if waiting {
-		ahead = 0
+		// The book counts the tokens among those that wait.
+		uncounted = 0
 	}
-	reachIn, reaches := s.book.ReachIn(now, workspace, ahead)
+	reachIn, reaches := s.book.ReachIn(now, workspace, uncounted)
 	reaches = reaches && s.witnessAnswers() && now.Add(reachIn).Before(until)
 	tableUnavailable := s.statementsFailing || s.statementBusy && now.Sub(s.statementBusySince) > slowStatementAfter
 	if tableUnavailable && !reaches {
