--- a/direct/config.go
+++ b/direct/config.go
@@ -87,6 +87,8 @@
 type compiledConfig struct {
 	version      uint64
 	routesByHost map[string][]Route
+	// routeSince is the version that added each route, by its name.
+	routeSince map[string]uint64
 	services     map[string]Service
 	keyring      *secure.Keyring
 	// requireKey is set when requests need an API key, that is, when there are
@@ -99,10 +101,12 @@
 	limits  Limits
 }
 
-func compileConfig(cfg RouterConfig) *compiledConfig {
+// compileConfig indexes a configuration. Previous is the one before it, nil if there is none.
+func compileConfig(cfg RouterConfig, previous *compiledConfig) *compiledConfig {
 	c := &compiledConfig{
 		version:         cfg.Version,
 		routesByHost:    make(map[string][]Route),
+		routeSince:      make(map[string]uint64, len(cfg.Routes)),
 		services:        cfg.Services,
 		keyring:         secure.NewKeyring(cfg.Document),
 		requireKey:      len(cfg.Document.Register.Workspaces) > 0,
@@ -112,6 +116,10 @@
 	}
 	for _, route := range cfg.Routes {
 		c.routesByHost[route.Host] = append(c.routesByHost[route.Host], route)
+		c.routeSince[route.Name] = cfg.Version
+		if previous != nil {
+			c.routeSince[route.Name] = cmp.Or(previous.routeSince[route.Name], cfg.Version)
+		}
 	}
 	for _, routes := range c.routesByHost {
 		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
--- a/direct/router.go
+++ b/direct/router.go
@@ -170,13 +170,14 @@
 func (r *Router) ApplyConfig(cfg RouterConfig) {
 	r.applyMu.Lock()
 	defer r.applyMu.Unlock()
-	if current := r.config.Load(); current != nil && cfg.Version <= current.version {
+	current := r.config.Load()
+	if current != nil && cfg.Version <= current.version {
 		if cfg.Version < current.version {
 			r.logger.Warn("older configuration ignored", "version", cfg.Version, "in_force", current.version)
 		}
 		return
 	}
-	next := compileConfig(cfg)
+	next := compileConfig(cfg, current)
 	r.credit.SetBudgets(next.budgets)
 	r.setServices(next.services)
 	r.config.Store(next)
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -241,7 +241,7 @@
 	x.router.metrics.observe(x, err, elapsed)
 	fields := []any{
 		"request", x.meta.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
-		"config_version", x.configVersion(), "state", x.progress.state, "attempts", len(x.excluded),
+		"config_version", x.configVersion(), "route_since", x.routeSince(), "state", x.progress.state, "attempts", len(x.excluded),
 		"events", x.eventCount, "elapsed_ms", elapsed.Milliseconds(),
 	}
 	if x.reservation.tokens > 0 {
@@ -282,6 +282,14 @@
 // logged returns the part of a caller's text that a log line has.
 func logged(text string) string { return text[:min(len(text), maxLoggedBytes)] }
 
+// routeSince returns the version of the configuration that added the route, 0 if it isn't known.
+func (x *exchange) routeSince() uint64 {
+	if x.config == nil {
+		return 0
+	}
+	return x.config.routeSince[x.route.Name]
+}
+
 func (x *exchange) configVersion() uint64 {
 	if x.config == nil {
 		return 0
