--- a/direct/config.go
+++ b/direct/config.go
@@ -89,8 +89,8 @@
 	routesByHost map[string][]Route
 	// routeSince is the version that added each route, by its name.
 	routeSince map[string]uint64
-	services     map[string]Service
-	keyring      *secure.Keyring
+	services   map[string]Service
+	keyring    *secure.Keyring
 	// requireKey is set when requests need an API key, that is, when there are
 	// workspaces.
 	requireKey      bool
