platform, direct: bound the response of a relayed call, and don't take a large one for an outage

Change: a call names the maximum size of its response (max_bytes of RelayRequest), and a response that exceeds it is an answer of its own (too_large), also over a relay.

--- a/direct/relaycall.go
+++ b/direct/relaycall.go
@@ -24,12 +24,17 @@
 	// Target is the path and query of the URL.
 	Target string
 	Body   []byte
+	// MaxBytes is the maximum size of the response's body, 0 for that of the table service's
+	// client.
+	MaxBytes int
 }
 
 // TableResponse is the HTTP response to a TableCall.
 type TableResponse struct {
 	Status int
 	Body   []byte
+	// TooLarge is set if the body exceeds its maximum size; it is left out.
+	TooLarge bool
 	// Era is the era of the table service, 0 if it has none.
 	Era uint64
 }
@@ -48,7 +53,7 @@
 }
 
 func (p *peers) callTable(ctx context.Context, call TableCall) (response TableResponse, reached bool, err error) {
-	req := &pb.RelayRequest{Method: call.Method, Target: call.Target, Body: call.Body}
+	req := &pb.RelayRequest{Method: call.Method, Target: call.Target, Body: call.Body, MaxBytes: int64(call.MaxBytes)}
 	for _, id := range p.relayCandidates() {
 		conn, err := p.dial(ctx, id)
 		if err != nil {
@@ -57,7 +62,7 @@
 		resp, err := conn.Relay(ctx, req)
 		_ = conn.Close()
 		if err == nil && !resp.GetAway() {
-			return TableResponse{Status: int(resp.GetStatus()), Body: resp.GetBody(), Era: resp.GetEra()}, true, nil
+			return TableResponse{Status: int(resp.GetStatus()), Body: resp.GetBody(), TooLarge: resp.GetTooLarge(), Era: resp.GetEra()}, true, nil
 		}
 		p.update(id, func(known *peerRouter) { known.noRelayUntil = time.Now().Add(relayRetryDelay) })
 		if err != nil && !rpc.NotSent(err) {
@@ -79,9 +84,10 @@
 	if s.tableCaller == nil {
 		return &pb.RelayResponse{Away: true}, nil
 	}
-	response, reached, err := s.tableCaller.CallTable(ctx, TableCall{Method: req.GetMethod(), Target: req.GetTarget(), Body: req.GetBody()})
+	call := TableCall{Method: req.GetMethod(), Target: req.GetTarget(), Body: req.GetBody(), MaxBytes: int(req.GetMaxBytes())}
+	response, reached, err := s.tableCaller.CallTable(ctx, call)
 	if err != nil {
 		return nil, err
 	}
-	return &pb.RelayResponse{Away: !reached, Status: int32(response.Status), Body: response.Body, Era: response.Era}, nil
+	return &pb.RelayResponse{Away: !reached, Status: int32(response.Status), Body: response.Body, TooLarge: response.TooLarge, Era: response.Era}, nil
 }
--- a/direct/relaycall_test.go
+++ b/direct/relaycall_test.go
@@ -25,7 +25,7 @@
 	if f.fails.Load() {
 		return TableResponse{}, true, errors.New("no response")
 	}
-	return TableResponse{Status: 200, Body: []byte(call.Method + " " + call.Target + " " + string(call.Body))}, true, nil
+	return TableResponse{Status: 200, TooLarge: call.MaxBytes == 1, Body: []byte(call.Method + " " + call.Target + " " + string(call.Body))}, true, nil
 }
 
 func TestCallsAreRelayedByARouterThatReachesTheTable(t *testing.T) {
@@ -55,6 +55,12 @@
 		t.Fatal("a router that can't reach the table service made the call")
 	}
 
+	bounded := call
+	bounded.MaxBytes = 1
+	if response, _, err := self.callTable(ctx, bounded); err != nil || !response.TooLarge || response.Status != 200 {
+		t.Fatalf("call with a bounded response: response %+v, error %v", response, err)
+	}
+
 	// A call that may have taken effect is not repeated through a third router.
 	second := map[string]string{"b": "c", "c": "b"}[first]
 	callers[second].fails.Store(true)
