direct, platform: one listed version isn't taken for the only one after a stale read

After a kill of all routers, callers' streams could go on at another version than began them, with nothing to show it. Cause: a router that had just started took a service for one with a single version once it had read all router records and a list. Both may be older than the process (a read of the store may be stale), and the records lack a version that came while the store lost or delayed the routers' writes. Then the version that is listed looks like the only one. Same class as a stale configuration: what one read says is taken for what is. Change: a router knows the versions before its start only once its own record is stored and both tables were read up to that write: versions of the store are of one counter, so nothing written before is missing. Evidence: TestProofAStaleListAfterAKillOfAllJoinsNoVersions: with the rule before, events [v2 v2 v1 v1 ...]. TestProofAStaleReadAfterAKillOfAllJoinsNoVersions passes with it too: a router merges its predecessor's record.

--- a/direct/origins.go
+++ b/direct/origins.go
@@ -34,9 +34,7 @@
 	mu       sync.Mutex
 	book     *streamorigin.Book
 	versions *streamorigin.Versions
-	// listed is set once the records of all routers were read, which name the versions that
-	// were listed before this process started.
-	listed bool
+	history  versionHistory
 	// savedChange is the change of the versions in the stored router record.
 	savedChange uint64
 
@@ -60,7 +58,7 @@
 
 func newStreamOrigins(teller *originTeller, scope tally.Scope) *streamOrigins {
 	s := &streamOrigins{
-		teller: teller, book: streamorigin.NewBook(), versions: streamorigin.NewVersions(), kept: scope.Gauge("stream_origins_kept"),
+		teller: teller, book: streamorigin.NewBook(), versions: streamorigin.NewVersions(), history: newVersionHistory(), kept: scope.Gauge("stream_origins_kept"),
 		refusals: scope.Counter("streams_of_unknown_origin"), unproven: scope.Counter("streams_at_unproven_versions"),
 		resumptions: make(map[originSource]tally.Counter),
 	}
@@ -156,7 +154,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version, ok := s.versions.Sole(now, service)
-	return streamorigin.Origin{Service: service, Version: version}, ok && s.listed
+	return streamorigin.Origin{Service: service, Version: version}, ok && s.history.complete
 }
 
 // expire drops what is no longer needed.
@@ -204,6 +202,10 @@
 	if stream, ok := s.find(now, key); ok && x.meta.Resumes != "" {
 		return stream.Origin, originKept, 0
 	}
+	if !s.several(now, x.service) {
+		s.awaitHistory(ctx)
+		now = time.Now()
+	}
 	if origin, ok := s.sole(now, x.service); ok {
 		return origin, originSole, 0
 	}
--- a/direct/peereras.go
+++ b/direct/peereras.go
@@ -32,7 +32,6 @@
 
 // RouterRecordsListed records that all router records were read in an era.
 func (r *Router) RouterRecordsListed(era uint64) {
-	r.streams.recordsListed()
 	r.peers.mu.Lock()
 	defer r.peers.mu.Unlock()
 	r.peers.eras.listed = max(r.peers.eras.listed, era)
--- a/direct/recordedversion.go
+++ b/direct/recordedversion.go
@@ -70,16 +70,10 @@
 	return s.savedChange != s.versions.Change()
 }
 
-// markSaved records that the versions have been stored as of a change.
-func (s *streamOrigins) markSaved(change uint64) {
+// markSaved records that the versions have been stored as of a change, and where in the table.
+func (s *streamOrigins) markSaved(change uint64, at tablePosition) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.savedChange = change
-}
-
-// recordsListed records that the records of all routers were merged.
-func (s *streamOrigins) recordsListed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listed = true
+	s.history.recordWritten(at)
 }
--- a/direct/streamfleet_test.go
+++ b/direct/streamfleet_test.go
@@ -23,6 +23,7 @@
 	"jackdawswitch/rpc"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/standin"
+	"jackdawswitch/storage"
 )
 
 // streamEvents is the number of events of a stream of a versionedEndpoint.
@@ -91,11 +92,40 @@
 	served      map[string]*versionedEndpoint
 	incarnation int64
 	nextID      int
+	// stale is what routers read instead of the present list and records; nil for those.
+	stale *fleetReads
+	// listVersion is how far the list of endpoints is read, nil for as far as the records.
+	listVersion *uint64
 
 	mu      sync.Mutex
 	routers []*streamRouter
 }
 
+// fleetReads is what routers read of the table: the list of endpoints and the router records.
+type fleetReads struct {
+	endpoints []catalog.Endpoint
+	records   [][]byte
+	// version is the version of the newest record.
+	version uint64
+}
+
+// reads returns what a read returns now.
+func (f *streamFleet) reads() fleetReads {
+	if f.stale != nil {
+		return *f.stale
+	}
+	now := fleetReads{endpoints: f.endpoints}
+	for i := range f.routers {
+		rows, err := f.table.Get(context.Background(), routerRecordKey(fmt.Sprintf("vm%d", i)))
+		if err != nil || len(rows) == 0 {
+			now.records = append(now.records, nil)
+			continue
+		}
+		now.records, now.version = append(now.records, rows[0].Value), max(now.version, rows[0].Version)
+	}
+	return now
+}
+
 func newStreamFleet(t *testing.T, routers int, versions ...string) *streamFleet {
 	t.Helper()
 	f := &streamFleet{t: t, network: memnet.New(), table: standin.NewTable(), served: make(map[string]*versionedEndpoint)}
@@ -157,7 +187,7 @@
 		Settings: Settings{VM: vm, FailureDomain: "fd", PeerAddress: vm, MaxRetryShare: 2}, Incarnation: f.incarnation,
 		Network: r.host, Protocol: testProtocol{}, Table: f.table, Logger: slog.New(slog.DiscardHandler), Metrics: r.metrics, Starts: f,
 	})
-	r.ReplaceEndpoints(f.endpoints)
+	r.ReplaceEndpoints(f.reads().endpoints)
 	cfg := testConfig()
 	cfg.Document.Register.Lots = nil
 	cfg.Routes[3].MaxEndpoints = 4
@@ -204,17 +234,39 @@
 		})
 	}
 	for _, r := range f.routers {
-		for i, other := range f.routers {
-			if r != nil && other != nil {
-				r.MergeRouterRecord(other.id.VM, f.record(i))
-			}
-		}
 		if r != nil {
-			r.RouterRecordsListed(0)
+			f.readRecords(r)
 		}
 	}
 }
 
+// readRecords lets a router read all records.
+func (f *streamFleet) readRecords(r *streamRouter) {
+	reads := f.reads()
+	for i, record := range reads.records {
+		if f.routers[i] != nil && record != nil {
+			r.MergeRouterRecord(f.routers[i].id.VM, record)
+		}
+	}
+	r.RouterRecordsListed(0)
+	r.RouterRecordsReadAt(0, reads.version)
+	if f.listVersion != nil {
+		reads.version = *f.listVersion
+	}
+	r.EndpointsReadAt(0, reads.version)
+}
+
+// overwriteRecord writes the router record of a VM as another writer.
+func (f *streamFleet) overwriteRecord(i int, value []byte) {
+	f.t.Helper()
+	_, err := f.table.Commit(context.Background(), storage.Transaction{
+		ID: fmt.Sprintf("overwrite-%d", i), Puts: []storage.Put{{Key: routerRecordKey(fmt.Sprintf("vm%d", i)), Value: value}},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // record returns the stored router record of a VM.
 func (f *streamFleet) record(i int) []byte {
 	rows, err := f.table.Get(context.Background(), routerRecordKey(fmt.Sprintf("vm%d", i)))
--- a/direct/streamversion_test.go
+++ b/direct/streamversion_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -254,3 +256,87 @@
 	origin := encodeOrigin(streamorigin.Stream{Origin: streamorigin.Origin{Service: "brew-models", Version: "v1.1"}, Keep: 42 * time.Second})
 	t.Logf("%d bytes for each of %d holders of a stream", proto.Size(&pb.KeepOriginsRequest{Origins: []*pb.StreamOrigin{origin}}), originHolders)
 }
+
+// release adds endpoints of another version, and waits until the routers have recorded it.
+func (f *streamFleet) release(version string, ids ...string) {
+	f.t.Helper()
+	list := slices.Clone(f.endpoints)
+	for _, id := range ids {
+		list = append(list, f.startEndpoint(id, version))
+	}
+	f.list(list...)
+	for i := range f.routers {
+		eventually(f.t, "the version is recorded", func() bool { return strings.Contains(string(f.record(i)), `"`+version+`"`) })
+	}
+}
+
+// beginAt begins a stream at a version.
+func (f *streamFleet) beginAt(version string) *callerStream {
+	f.t.Helper()
+	for range 100 {
+		var s callerStream
+		if f.request(0, &s, 0, 2); len(s.versions) > 0 && s.versions[0] == version {
+			return &s
+		}
+	}
+	f.t.Fatalf("no stream began at %s", version)
+	return nil
+}
+
+// All routers are killed at a release and read what the table had before it when they are back.
+func TestProofAStaleReadAfterAKillOfAllJoinsNoVersions(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v1")
+	before := f.reads()
+	f.release("v2", "e8", "e9")
+	s := f.beginAt("v2")
+	f.stale = &before
+	f.restartAll()
+	runs := f.totalRuns()
+	if f.request(1, s, 0, 0); s.status != http.StatusServiceUnavailable || f.totalRuns() != runs {
+		t.Errorf("status %d, events of %v, want a refusal", s.status, s.versions)
+	}
+	f.stale = nil
+	f.list(f.endpoints...)
+	for _, r := range f.routers {
+		f.readRecords(r)
+	}
+	if f.request(2, s, 0, 0); s.status != http.StatusServiceUnavailable || s.mixed() {
+		t.Errorf("once the present list is read: status %d, events of %v, want a refusal", s.status, s.versions)
+	}
+}
+
+// The list is read later than the records when the routers are back.
+func TestProofAStaleListAfterAKillOfAllJoinsNoVersions(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v1")
+	before := f.reads()
+	f.release("v2", "e8", "e9")
+	s := f.beginAt("v2")
+	for i := range f.routers {
+		f.kill(i)
+	}
+	// The table lost what the routers wrote of the release.
+	for i, record := range before.records {
+		f.overwriteRecord(i, record)
+	}
+	f.endpoints = before.endpoints
+	f.listVersion = new(uint64)
+	for i := range f.routers {
+		f.startRouter(i)
+	}
+	if f.request(1, s, 0, 0); s.status != http.StatusServiceUnavailable || s.mixed() {
+		t.Errorf("status %d, events of %v, want a refusal", s.status, s.versions)
+	}
+}
+
+// A request to take a stream up comes while the router reads the list.
+func TestAStreamWaitsForTheVersionsBefore(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v1")
+	s := f.beginAt("v1")
+	f.listVersion = new(uint64)
+	f.restartAll()
+	f.listVersion = nil
+	time.AfterFunc(maxVersionsWait/4, func() { f.readRecords(f.routers[1]) })
+	if f.request(1, s, 0, 0); !s.complete {
+		t.Errorf("status %d, events of %v, want the whole stream", s.status, s.versions)
+	}
+}
