direct, routing: streams begin at versions that a stored record names

Cause: a version that comes and goes between two writes of the router records, or while the store loses them, is named nowhere after a kill of all routers. The version that stayed then looks like the only one. Change: while a service has several versions, a stream that callers may take up begins at one that the record of some router names, as far as endpoints of one are left. Evidence: TestProofAVersionThatWasNeverRecordedJoinsNoStreams: events [v2 v2 v1 v1 ...] without the change. TestStreamsBeginAtANewVersion: a recorded version is used, and an unrecorded one if no other is left; in that case the gap stays.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -75,7 +75,7 @@
 func (x *exchange) pickerQuery() routing.PromptQuery {
 	return routing.PromptQuery{
 		Service: x.service, Parts: x.meta.Parts, PromptTokens: x.meta.PromptTokens, Exclude: x.excluded,
-		Version: x.origin.Version, TargetLatency: x.route.TargetLatency, Random: rand.Uint64(),
+		Version: x.origin.Version, Avoid: x.versionsToAvoid(), TargetLatency: x.route.TargetLatency, Random: rand.Uint64(),
 	}
 }
 
--- a/direct/origins.go
+++ b/direct/origins.go
@@ -220,6 +220,18 @@
 	return stream.Origin, originAsked, failed
 }
 
+// versionsToAvoid returns the versions at which a stream that callers may take up shouldn't begin:
+// those that aren't recorded yet.
+func (x *exchange) versionsToAvoid() []string {
+	if x.bound || !x.route.Resumable {
+		return nil
+	}
+	s := x.router.streams
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versions.Unrecorded(time.Now(), x.service)
+}
+
 // beginStream binds the request to the version of the endpoint that sends the caller the first
 // event.
 func (x *exchange) beginStream(a *attempt) {
--- a/direct/recordedversion.go
+++ b/direct/recordedversion.go
@@ -33,7 +33,9 @@
 		if v.GoneMS > 0 {
 			ago = time.Duration(nowMS-v.GoneMS) * time.Millisecond
 		}
-		s.heardVersion(now, streamorigin.Origin{Service: v.Service, Version: v.Version}, ago)
+		origin := streamorigin.Origin{Service: v.Service, Version: v.Version}
+		s.heardVersion(now, origin, ago)
+		s.versions.MarkRecorded(origin)
 		lastNamed = v.Service
 	}
 	if record.VersionsInPart {
@@ -70,10 +72,13 @@
 	return s.savedChange != s.versions.Change()
 }
 
-// markSaved records that the versions have been stored as of a change, and where in the table.
-func (s *streamOrigins) markSaved(change uint64, at tablePosition) {
+// markSaved records that versions have been stored as of a change, and where in the table.
+func (s *streamOrigins) markSaved(versions []recordedVersion, change uint64, at tablePosition) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.savedChange = change
+	for _, v := range versions {
+		s.versions.MarkRecorded(streamorigin.Origin{Service: v.Service, Version: v.Version})
+	}
 	s.history.recordWritten(at)
 }
--- a/direct/routerrecord.go
+++ b/direct/routerrecord.go
@@ -208,6 +208,6 @@
 	}
 	r.quarantine.markSaved(crashes)
 	r.partCrashes.markSaved(partVersion)
-	r.streams.markSaved(change, tablePosition{era: commit.Era, version: commit.Version})
+	r.streams.markSaved(versions, change, tablePosition{era: commit.Era, version: commit.Version})
 	return nil
 }
--- a/direct/streamversion_test.go
+++ b/direct/streamversion_test.go
@@ -16,6 +16,7 @@
 	"jackdawswitch/catalog"
 	"jackdawswitch/prepaid"
 	"jackdawswitch/rpc/memnet"
+	"jackdawswitch/standin"
 	"jackdawswitch/streamorigin"
 )
 
@@ -340,3 +341,40 @@
 		t.Errorf("status %d, events of %v, want the whole stream", s.status, s.versions)
 	}
 }
+
+// A version comes and goes while the table loses what routers write, and all routers are killed.
+func TestProofAVersionThatWasNeverRecordedJoinsNoStreams(t *testing.T) {
+	const streams = 20
+	f := newStreamFleet(t, 3, "v1", "v1")
+	before := f.endpoints
+	f.table.SetFaults(standin.Faults{LoseWrites: -1})
+	f.list(append(slices.Clone(before), f.startEndpoint("e8", "v2"), f.startEndpoint("e9", "v2"))...)
+	begun := make([]callerStream, streams)
+	for i := range begun {
+		f.request(i%3, &begun[i], 0, 2)
+	}
+	for i := range f.routers {
+		f.kill(i)
+	}
+	f.table.SetFaults(standin.Faults{})
+	f.endpoints = before
+	for i := range f.routers {
+		f.startRouter(i)
+	}
+	for i := range begun {
+		if f.request(i%3, &begun[i], 0, 0); begun[i].mixed() || !begun[i].complete {
+			t.Errorf("status %d, events of %v, want the rest of one version", begun[i].status, begun[i].versions)
+		}
+	}
+}
+
+// Streams begin at a new version as soon as it is recorded, and before if no other is left.
+func TestStreamsBeginAtANewVersion(t *testing.T) {
+	f := newStreamFleet(t, 3, "v1", "v1")
+	f.release("v2", "e8", "e9")
+	f.beginAt("v2")
+	f.table.SetFaults(standin.Faults{LoseWrites: -1})
+	f.list(f.startEndpoint("e10", "v3"))
+	f.beginAt("v3")
+	f.table.SetFaults(standin.Faults{})
+}
--- a/routing/prompt.go
+++ b/routing/prompt.go
@@ -82,6 +82,9 @@
 	PromptTokens int64
 	// Version is the version of the software at which the request must run; empty for any.
 	Version string
+	// Avoid lists versions of which endpoints are chosen only if no other is left that isn't
+	// paused.
+	Avoid []string
 	// Exclude lists the IDs of endpoints that must not be chosen.
 	Exclude []string
 	// Barred reports whether an endpoint must get no request now, also if no other is
@@ -182,8 +185,8 @@
 	services      map[string][]*target
 	paces         map[string]*servicePace
 	paceChanges   map[string]PaceChange
-	// active and paused are the buffers of candidates.
-	active, paused []*target
+	// active, avoided and paused are the buffers of candidates.
+	active, avoided, paused []*target
 }
 
 // NewPromptPicker returns a picker for a process in the given failure domain.
@@ -200,7 +203,7 @@
 // SetEndpoints replaces the endpoints. The state of an endpoint is kept unless its
 // incarnation or address changed.
 func (p *PromptPicker) SetEndpoints(endpoints []PromptEndpoint) {
-	p.active, p.paused = nil, nil
+	p.active, p.avoided, p.paused = nil, nil, nil
 	next := make(map[string]*target, len(endpoints))
 	p.services = make(map[string][]*target)
 	for _, e := range endpoints {
@@ -302,27 +305,34 @@
 	return choice
 }
 
-// candidates returns the endpoints that are neither excluded, barred nor paused. If only
-// paused ones are left, it returns these: one of them may be back, and trying it is
-// better than refusing a request that could be served. The result is valid until the next
+// candidates returns the endpoints that are neither excluded, barred, avoided nor paused. If
+// there is none, it returns those that are only avoided. If only paused ones are left, it returns
+// these: one of them may be back, and trying it is better than refusing a request that could be
+// served. The result is valid until the next
 // call.
 func (p *PromptPicker) candidates(now time.Time, q PromptQuery) []*target {
-	active, paused := p.active[:0], p.paused[:0]
+	active, avoided, paused := p.active[:0], p.avoided[:0], p.paused[:0]
 	for _, t := range p.services[q.Service] {
 		switch {
 		case q.Version != "" && t.endpoint.Version != q.Version,
 			slices.Contains(q.Exclude, t.endpoint.ID), q.Barred != nil && q.Barred(t.endpoint):
 		case now.Before(t.pausedUntil):
 			paused = append(paused, t)
+		case slices.Contains(q.Avoid, t.endpoint.Version):
+			avoided = append(avoided, t)
 		default:
 			active = append(active, t)
 		}
 	}
-	p.active, p.paused = active, paused
-	if len(active) == 0 {
+	p.active, p.avoided, p.paused = active, avoided, paused
+	switch {
+	case len(active) > 0:
+		return active
+	case len(avoided) > 0:
+		return avoided
+	default:
 		return paused
 	}
-	return active
 }
 
 // retryAfter returns the time until the first paused endpoint of the service is a
--- a/streamorigin/versions.go
+++ b/streamorigin/versions.go
@@ -24,6 +24,8 @@
 	// be listed otherwise.
 	current bool
 	last    time.Time
+	// recorded is set once a stored router record names the version.
+	recorded bool
 }
 
 // Versions keeps the versions that each service has had within Memory.
@@ -82,6 +84,29 @@
 	return isNew
 }
 
+// MarkRecorded records that a stored router record names a version.
+func (v *Versions) MarkRecorded(origin Origin) {
+	if known := v.services[origin.Service][origin.Version]; known != nil {
+		known.recorded = true
+	}
+}
+
+// Unrecorded returns the listed versions of a service that no stored router record names, if the
+// service has several versions. After a loss of all routers nothing tells that such a version was
+// there, unless it is listed still.
+func (v *Versions) Unrecorded(now time.Time, service string) []string {
+	if !v.Several(now, service) {
+		return nil
+	}
+	var out []string
+	for version, known := range v.services[service] {
+		if known.current && !known.recorded {
+			out = append(out, version)
+		}
+	}
+	return out
+}
+
 // HeardInPart records that another router listed more versions than it named: those of the
 // services that come after the given one, in the order of All.
 func (v *Versions) HeardInPart(now time.Time, upTo string) {
