direct: the versions of services in records of an earlier era count

Cause: the time at which a version left is that of the store's clock. After a restore with another clock the record of an earlier era could tell of a version that just left as one that left ten minutes ago, which no longer counts; and the record of a process that another one replaced was dropped whole. Change: such a time counts as now, and versions are merged before the record is dropped. Evidence: TestAVersionInARecordOfAnEarlierEraCounts and TestACopyOfAPredecessorsRecordEndsNoProcess (its new part) fail without the change.

--- a/direct/peercopies_test.go
+++ b/direct/peercopies_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"jackdawswitch/prepaid"
 )
@@ -23,9 +24,10 @@
 	g := newCrashTestRouter(t, 1)
 	table := &eraTable{Table: g.router.opts.Table, era: 1}
 	g.router.opts.Table = table
+	var versions []recordedVersion
 	merge := func(incarnation int64, era prepaid.EraProgress) {
 		t.Helper()
-		data, err := json.Marshal(routerRecord{Incarnation: incarnation, Address: "b:1", FailureDomain: "fd", Era: era})
+		data, err := json.Marshal(routerRecord{Incarnation: incarnation, Address: "b:1", FailureDomain: "fd", Era: era, Versions: versions})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -44,6 +46,12 @@
 	table.era = 2
 	merge(1, prepaid.EraProgress{Era: 1, Rounds: prepaid.Settled})
 	expect(2, "the table came back with its predecessor's record")
+	versions = []recordedVersion{{Service: "s", Version: "v0"}, {Service: "s", Version: "v1"}}
+	merge(1, prepaid.EraProgress{Era: 1, Rounds: prepaid.Settled})
+	if !g.router.streams.several(time.Now(), "s") {
+		t.Fatal("the versions in its predecessor's record don't count")
+	}
+	versions = nil
 	merge(3, prepaid.EraProgress{Era: 2})
 	expect(3, "a successor wrote its record in the new era")
 	g.router.RouterRecordsListed(2)
--- a/direct/recordedversion.go
+++ b/direct/recordedversion.go
@@ -19,8 +19,10 @@
 	GoneMS int64 `json:"goneMs,omitempty"`
 }
 
-// merge adds the versions in the record of another router, or of this VM's predecessor.
-func (s *streamOrigins) merge(nowMS int64, record routerRecord) {
+// merge adds the versions in the record of another router, or of this VM's predecessor. The
+// times in a record of another era than the present one count as now, since the clocks of two eras
+// aren't related.
+func (s *streamOrigins) merge(era uint64, nowMS int64, record routerRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -30,7 +32,7 @@
 			continue
 		}
 		var ago time.Duration
-		if v.GoneMS > 0 {
+		if v.GoneMS > 0 && record.Era.Era == era {
 			ago = time.Duration(nowMS-v.GoneMS) * time.Millisecond
 		}
 		origin := streamorigin.Origin{Service: v.Service, Version: v.Version}
--- a/direct/routerrecord.go
+++ b/direct/routerrecord.go
@@ -94,6 +94,11 @@
 			r.recordSaved.CompareAndSwap(saved, nil)
 		}
 	}
+	own := vm == r.opts.Settings.VM
+	if !own || record.Incarnation != r.opts.Incarnation {
+		// An earlier process tells as well which versions there were.
+		r.streams.merge(r.tableEra(), r.quarantine.tableNowMS(), record)
+	}
 	id := prepaid.ProcessID{VM: vm, Incarnation: record.Incarnation}
 	if r.peers.isCopy(id, record.Era.Era, r.tableEra()) {
 		r.logger.Info("router record of an earlier era ignored; another process runs on its VM", "vm", vm, "incarnation", id.Incarnation, "era", record.Era.Era)
@@ -107,12 +112,8 @@
 	if vm == r.opts.Settings.VM && record.Incarnation == r.opts.Incarnation {
 		r.fleetKnowledge.ownRecordRead(time.Now())
 	}
-	own := vm == r.opts.Settings.VM
 	r.quarantine.merge(record.Crashes, own)
 	r.partCrashes.merge(record.PartCrashes, record.PartAnswers, own)
-	if !own || record.Incarnation != r.opts.Incarnation {
-		r.streams.merge(r.quarantine.tableNowMS(), record)
-	}
 }
 
 // publishRouterRecord saves this router's record at the start, whenever its crash entries
@@ -155,7 +156,7 @@
 	}
 	r.quarantine.merge(record.Crashes, true)
 	r.partCrashes.merge(record.PartCrashes, record.PartAnswers, true)
-	r.streams.merge(r.quarantine.tableNowMS(), record)
+	r.streams.merge(r.tableEra(), r.quarantine.tableNowMS(), record)
 	return true
 }
 
--- a/direct/streamversion_test.go
+++ b/direct/streamversion_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -378,3 +379,27 @@
 	f.beginAt("v3")
 	f.table.SetFaults(standin.Faults{})
 }
+
+// The table came back from a copy, with another clock.
+func TestAVersionInARecordOfAnEarlierEraCounts(t *testing.T) {
+	f := newStreamFleet(t, 1, "v1")
+	r := f.routers[0]
+	merge := func(era uint64) {
+		t.Helper()
+		gone := time.Now().Add(-2 * streamorigin.Memory).UnixMilli()
+		data, err := json.Marshal(routerRecord{
+			Incarnation: 1, Address: "a:1", Versions: []recordedVersion{{Service: "s", Version: "v0", GoneMS: gone}},
+			Era: prepaid.EraProgress{Era: era},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.MergeRouterRecord("other", data)
+	}
+	if merge(0); r.streams.several(time.Now(), "s") {
+		t.Error("a version that left long ago counts")
+	}
+	if merge(1); !r.streams.several(time.Now(), "s") {
+		t.Error("a version whose time is of another clock doesn't count")
+	}
+}
