direct: a stream whose versions aren't known yet is refused with a time to come back

A router that has just started may know the versions a moment later; until then the refusal of a stream that is taken up named no Retry-After. TestProofAStaleListAfterAKillOfAllJoinsNoVersions checks it.

--- a/direct/origins.go
+++ b/direct/origins.go
@@ -182,7 +182,7 @@
 	case source == "":
 		r.streams.refusals.Inc(1)
 		err := refusal.NotRun(refusal.CauseStreamOriginUnknown, "the version that began the stream is not known")
-		if failed > 0 {
+		if failed > 0 || !r.streams.historyComplete() {
 			return err.WithRetryAfter(originRetryAfter)
 		}
 		return err
--- a/direct/streamfleet_test.go
+++ b/direct/streamfleet_test.go
@@ -286,7 +286,9 @@
 	// versions are the versions of the events received.
 	versions []string
 	status   int
-	complete bool
+	// retryAfter is the time to come back of a refusal.
+	retryAfter string
+	complete   bool
 }
 
 // request sends a request for a stream to a router, and adds the events to what the caller has.
@@ -319,6 +321,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
+	s.retryAfter = resp.Header.Get("Retry-After")
 	if s.status = resp.StatusCode; s.status != http.StatusOK {
 		return
 	}
--- a/direct/streamversion_test.go
+++ b/direct/streamversion_test.go
@@ -325,8 +325,8 @@
 	for i := range f.routers {
 		f.startRouter(i)
 	}
-	if f.request(1, s, 0, 0); s.status != http.StatusServiceUnavailable || s.mixed() {
-		t.Errorf("status %d, events of %v, want a refusal", s.status, s.versions)
+	if f.request(1, s, 0, 0); s.status != http.StatusServiceUnavailable || s.retryAfter == "" || s.mixed() {
+		t.Errorf("status %d, retry after %q, events of %v, want a refusal with a time to come back", s.status, s.retryAfter, s.versions)
 	}
 }
 
--- a/direct/versionproof.go
+++ b/direct/versionproof.go
@@ -81,6 +81,12 @@
 	update(&s.history)
 }
 
+func (s *streamOrigins) historyComplete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.history.complete
+}
+
 // awaitHistory waits until the versions that services had before this process started are known,
 // maxVersionsWait at most.
 func (s *streamOrigins) awaitHistory(ctx context.Context) {
