--- a/direct/streamversion_test.go
+++ b/direct/streamversion_test.go
@@ -337,7 +337,7 @@
 	f.listVersion = new(uint64)
 	f.restartAll()
 	f.listVersion = nil
-	time.AfterFunc(maxVersionsWait/4, func() { f.readRecords(f.routers[1]) })
+	time.AfterFunc(maxHistoryWait/4, func() { f.readRecords(f.routers[1]) })
 	if f.request(1, s, 0, 0); !s.complete {
 		t.Errorf("status %d, events of %v, want the whole stream", s.status, s.versions)
 	}
--- a/direct/versionproof.go
+++ b/direct/versionhistory.go
@@ -5,21 +5,21 @@
 	"time"
 )
 
-// maxVersionsWait is how long a request waits until this process knows all versions that a
-// service had before it started: the time of a few calls to the table service.
-const maxVersionsWait = 500 * time.Millisecond
+// maxHistoryWait is how long a request waits until this process knows all versions that services
+// had before it started: the time of a few calls to the table service.
+const maxHistoryWait = 500 * time.Millisecond
 
-// tablePosition is how far changes of the table service are known. Positions of two eras aren't
-// related.
+// tablePosition is a version of the table service. Versions of two eras aren't comparable.
 type tablePosition struct{ era, version uint64 }
 
 // versionHistory tells whether this process knows the versions that services had before it
-// started. Single reads don't show it, as a read may be older than the process: the record that
-// this process wrote does, once everything written before it was read.
+// started. A read doesn't prove it, as it may be stale. It is proved once this process has written
+// its record, and has read the records and the list of endpoints up to that write.
 type versionHistory struct {
-	// written is where this process's first record of an era stands, nil until it is stored.
+	// written is the position of this process's first record in an era, nil until it is stored.
 	written *tablePosition
-	// records and endpoints are how far the router records and the list of endpoints were read.
+	// records and endpoints are the positions up to which the router records and the list of
+	// endpoints were read.
 	records, endpoints tablePosition
 	complete           bool
 	// completed is closed when complete is set.
@@ -28,7 +28,7 @@
 
 func newVersionHistory() versionHistory { return versionHistory{completed: make(chan struct{})} }
 
-// recordWritten records where a record of this process stands in the table.
+// recordWritten records that this process's record was stored.
 func (h *versionHistory) recordWritten(at tablePosition) {
 	if h.written == nil || h.written.era != at.era {
 		h.written = &at
@@ -36,8 +36,8 @@
 	h.check()
 }
 
-// recordsRead records how far the router records were read, and endpointsRead how far the list
-// of endpoints was.
+// recordsRead and endpointsRead record up to which position the router records and the list of
+// endpoints were read.
 func (h *versionHistory) recordsRead(to tablePosition) {
 	h.records = to
 	h.check()
@@ -65,8 +65,8 @@
 	r.streams.updateHistory(func(h *versionHistory) { h.recordsRead(tablePosition{era, version}) })
 }
 
-// EndpointsReadAt records the same of the list of endpoints. It reports whether a later version
-// is awaited.
+// EndpointsReadAt records that the list of endpoints is known as the table service had it at a
+// version of an era. It reports whether a later version is awaited.
 func (r *Router) EndpointsReadAt(era, version uint64) (awaited bool) {
 	r.streams.updateHistory(func(h *versionHistory) {
 		h.endpointsRead(tablePosition{era, version})
@@ -81,6 +81,8 @@
 	update(&s.history)
 }
 
+// historyComplete reports whether the versions that services had before this process started are
+// known.
 func (s *streamOrigins) historyComplete() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,7 +90,7 @@
 }
 
 // awaitHistory waits until the versions that services had before this process started are known,
-// maxVersionsWait at most.
+// maxHistoryWait at most.
 func (s *streamOrigins) awaitHistory(ctx context.Context) {
 	s.mu.Lock()
 	complete, completed := s.history.complete, s.history.completed
@@ -96,7 +98,7 @@
 	if complete {
 		return
 	}
-	timer := time.NewTimer(maxVersionsWait)
+	timer := time.NewTimer(maxHistoryWait)
 	defer timer.Stop()
 	select {
 	case <-completed:
