--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
-go build -tags review -o target/review-stand ./review/stand
+go build -tags review -o target/review-stand ./review/platform
