--- a/direct/overload.go
+++ b/direct/overload.go
@@ -194,7 +194,7 @@
 	pacer := pacing.NewPacer(r.opts.Settings.MaxEventDelay)
 	holdGauge := r.opts.Metrics.Gauge("event_hold_ms")
 	shedGauge, linkGauge := r.opts.Metrics.Gauge("shed_share"), r.opts.Metrics.Gauge("link_share")
-	bodyGauge := r.opts.Metrics.Gauge("body_bytes")
+	bodyGauge, configAgeGauge := r.opts.Metrics.Gauge("body_bytes"), r.opts.Metrics.Gauge("config_age_ms")
 	timer := time.NewTimer(lagSampleInterval)
 	defer timer.Stop()
 	started := time.Now()
@@ -217,6 +217,7 @@
 		linkGauge.Update(link.share())
 		r.late.linkPPM.Store(int64(link.share() * 1e6))
 		bodyGauge.Update(float64(r.bodies.inUse()))
+		configAgeGauge.Update(float64(r.configAge.ms()))
 		stalled := r.overload.stalls.tick(time.Since(r.overload.started))
 		if stalled {
 			r.logger.Warn("process stalled; refusing requests until its state is current", "for", elapsed.String(), "resume_in", stallRecovery.String())
--- a/direct/router.go
+++ b/direct/router.go
@@ -118,8 +118,10 @@
 	fleetKnowledge fleetKnowledge
 	// config is nil until the first configuration is applied; applyMu serializes the
 	// calls of ApplyConfig.
-	config   atomic.Pointer[compiledConfig]
-	draining atomic.Bool
+	config atomic.Pointer[compiledConfig]
+	// configAge is of the configuration in force.
+	configAge configAge
+	draining  atomic.Bool
 	// recordSaved is the progress in this router's record, as far as is known, nil if the
 	// table service lacks the record.
 	recordSaved atomic.Pointer[prepaid.EraProgress]
@@ -370,6 +372,9 @@
 	Ready         bool   `json:"ready"`
 	Draining      bool   `json:"draining"`
 	ConfigVersion uint64 `json:"configVersion"`
+	// ConfigAgeMS is the time since the configuration in force was known to be the newest one, in
+	// milliseconds, -1 before that was known for the first time.
+	ConfigAgeMS int64 `json:"configAgeMs"`
 	// Unready are the reasons for which the router isn't ready.
 	Unready  []UnreadyReason `json:"unready"`
 	Pressure Pressure        `json:"pressure"`
@@ -403,7 +408,7 @@
 		VM: r.opts.Settings.VM, Ready: r.Ready(), Draining: r.draining.Load(),
 		Unready: r.unreadyReasons(), Pressure: r.pressure(), Peers: r.peers.count(), Lent: r.peers.lender.count(),
 		HandOvers: r.credit.HandOvers(), QuarantinedParts: r.partCrashes.status(),
-		Endpoints: r.endpointStatuses(), Notices: r.noticeStatuses(), Credit: r.creditAccounts(),
+		ConfigAgeMS: r.configAge.ms(), Endpoints: r.endpointStatuses(), Notices: r.noticeStatuses(), Credit: r.creditAccounts(),
 	}
 	d.Evacuated, d.Cold = r.placeViews()
 	d.Limits = r.limitViews()
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -241,7 +241,7 @@
 	x.router.metrics.observe(x, err, elapsed)
 	fields := []any{
 		"request", x.meta.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
-		"config_version", x.configVersion(), "route_since", x.routeSince(), "state", x.progress.state, "attempts", len(x.excluded),
+		"config_version", x.configVersion(), "config_age_ms", x.router.configAge.ms(), "route_since", x.routeSince(), "state", x.progress.state, "attempts", len(x.excluded),
 		"events", x.eventCount, "elapsed_ms", elapsed.Milliseconds(),
 	}
 	if x.reservation.tokens > 0 {
