A request is not refused for good by a configuration that isn't confirmed

What callers saw: 404, and 401 alike, for a route or key that was added over 2 s before, at a router that doesn't know yet. The refusal is final: callers don't come back.

Cause: a verdict that a later configuration may change was given by whatever had been read, however long ago.

Change: each response of the feed tells as of when the configuration in force is the newest one, by the store's clock in the response and not by when it was read. If that is longer ago than the time within which a configuration must be in force (config_apply_ms, less 50 ms for the clock), 404 and 401 become 503 unconfirmed_configuration, not run, with the time to come back. Requests that the configuration allows are served as before.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -23,13 +23,16 @@
 	started  time.Time
 	deadline time.Time
 
-	meta      RequestMeta
-	config    *compiledConfig
-	route     Route
-	service   string
-	workspace string
-	rank      int
-	body      []byte
+	meta   RequestMeta
+	config *compiledConfig
+	// configConfirmed is when the table service was last known to have no later configuration,
+	// zero if it isn't known.
+	configConfirmed time.Time
+	route           Route
+	service         string
+	workspace       string
+	rank            int
+	body            []byte
 	// hold is the memory that the request's bodies and responses take.
 	hold bodyHold
 
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -37,7 +37,12 @@
 
 // ServeHTTP handles one request of a caller.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	x := &exchange{router: r, writer: w, request: req, started: time.Now(), config: r.config.Load(), hold: bodyHold{budget: r.bodies}}
+	// The age is read before the configuration, so that it is never that of a later one.
+	confirmed := r.configAge.confirmed()
+	x := &exchange{
+		router: r, writer: w, request: req, started: time.Now(), configConfirmed: confirmed, config: r.config.Load(),
+		hold: bodyHold{budget: r.bodies},
+	}
 	defer x.hold.release()
 	r.metrics.requests.Inc(1)
 	if r.draining.Load() || r.overload.saturated.Load() {
@@ -76,7 +81,7 @@
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
 	route, ok := x.config.route(x.request.Host, path)
 	if !ok {
-		return refusal.NotRun(refusal.CauseUnknownCall, "no route for host %s", x.request.Host)
+		return x.refuseByConfig(refusal.CauseUnknownCall, "no route for host %s", x.request.Host)
 	}
 	x.route = route
 	if err := x.authenticate(); err != nil {
@@ -110,7 +115,7 @@
 	if !x.config.requireKey || x.route.Anonymous {
 		return nil
 	}
-	return refusal.NotRun(refusal.CauseUnauthenticated, "unknown key, configuration %d", x.config.version)
+	return x.refuseByConfig(refusal.CauseUnauthenticated, "unknown key, configuration %d", x.config.version)
 }
 
 // timeout returns the shorter of the caller's and the route's timeout, or
@@ -241,7 +246,7 @@
 	x.router.metrics.observe(x, err, elapsed)
 	fields := []any{
 		"request", x.meta.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
-		"config_version", x.configVersion(), "config_age_ms", x.router.configAge.ms(), "route_since", x.routeSince(), "state", x.progress.state, "attempts", len(x.excluded),
+		"config_version", x.configVersion(), "config_age_ms", ageMS(x.configConfirmed, x.started), "route_since", x.routeSince(), "state", x.progress.state, "attempts", len(x.excluded),
 		"events", x.eventCount, "elapsed_ms", elapsed.Milliseconds(),
 	}
 	if x.reservation.tokens > 0 {
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -33,6 +33,9 @@
 	// MaxEventDelay is the longest time that an event of a stream may take from the endpoint
 	// to the caller; 0 if it is not declared.
 	MaxEventDelay time.Duration
+	// MaxConfigDelay is the time after its acknowledgement within which a configuration must be in
+	// force; 0 if it is not declared.
+	MaxConfigDelay time.Duration
 	// MaxFds is the limit on the descriptors of the process, MemoryBytes that on its
 	// memory, and CPUShare its share of a core; 0 if not declared.
 	MaxFds      int
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -49,6 +49,7 @@
 	CauseFenced                 Cause = "fenced"
 	CauseAnswerForgotten        Cause = "answer_forgotten"
 	CauseNoConfiguration        Cause = "no_configuration"
+	CauseUnconfirmedConfig      Cause = "unconfirmed_configuration"
 	CauseConfigurationConflict  Cause = "configuration_conflict"
 	CauseInternal               Cause = "internal"
 )
--- a/refusal/status.go
+++ b/refusal/status.go
@@ -70,6 +70,7 @@
 	{CauseFenced, http.StatusServiceUnavailable, states(notRun), true, "The sender holds an old incarnation or fencing number."},
 	{CauseAnswerForgotten, http.StatusGone, states(unknown, completed, partial), false, "The request ran; its answer is no longer kept."},
 	{CauseNoConfiguration, http.StatusServiceUnavailable, states(notRun), true, "The process holds no configuration yet."},
+	{CauseUnconfirmedConfig, http.StatusServiceUnavailable, states(notRun), true, "The process can't tell whether a later configuration allows the request."},
 	{CauseConfigurationConflict, http.StatusConflict, states(notRun), false, "Another operator changed the configuration first."},
 	{CauseInternal, http.StatusInternalServerError, states(unknown), true, "An unexpected failure."},
 }
