A saturated router takes no requests by a configuration that it has read too late

Cause: a saturated process reads what the store has sent when its turn comes, and takes requests meanwhile.

Change: while the router is saturated, and so unready, and can reach the store, a request is refused with unconfirmed_configuration, not run and with the time to come back, if the latest response that was read was made longer ago than a configuration may take to be in force. A router that is cut off from the store, or reads an older copy of it, serves as before.

Evidence: TestProofASaturatedRouterDoesNotServeByAnOldConfiguration fails without the check (status 200, want 503).

--- a/direct/configage.go
+++ b/direct/configage.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// maxClockError bounds the error of the times of confirmation, which are estimated from the
-	// clock in responses: the time that the fastest of them took.
+	// maxClockError bounds the error of the times at which responses were made, which are
+	// estimated from the clock in them: the time that the fastest of them took.
 	maxClockError = 50 * time.Millisecond
 
 	// unconfirmedRetryAfter is the least retry-after delay while the configuration is not
@@ -18,66 +18,94 @@
 	unconfirmedRetryAfter = noConfigRetryAfter
 )
 
-// configAge tells how old the knowledge is that the configuration in force is the newest one.
-// It is safe for concurrent use.
-type configAge struct {
-	// asOf is when the configuration in force was last known to be the newest one, nil before
-	// the first confirmation.
-	asOf atomic.Pointer[time.Time]
-}
+// latestTime is the latest of the times that it was told, the zero time before. It is safe for
+// concurrent use.
+type latestTime struct{ at atomic.Pointer[time.Time] }
 
-// confirm records that the configuration in force was the newest one at a time.
-func (a *configAge) confirm(asOf time.Time) {
+func (l *latestTime) observe(t time.Time) {
 	for {
-		last := a.asOf.Load()
-		if last != nil && !last.Before(asOf) {
+		last := l.at.Load()
+		if last != nil && !last.Before(t) {
 			return
 		}
-		if a.asOf.CompareAndSwap(last, &asOf) {
+		if l.at.CompareAndSwap(last, &t) {
 			return
 		}
 	}
 }
 
-// confirmed returns when the configuration in force was last known to be the newest one, zero
-// before the first confirmation.
-func (a *configAge) confirmed() time.Time {
-	last := a.asOf.Load()
-	if last == nil {
-		return time.Time{}
+func (l *latestTime) get() time.Time {
+	if at := l.at.Load(); at != nil {
+		return *at
 	}
-	return *last
+	return time.Time{}
 }
 
-// ageMS returns the age of a confirmation at a time in milliseconds, -1 if there is none.
-func ageMS(confirmed, now time.Time) int64 {
-	if confirmed.IsZero() {
+// configAge tells how old the knowledge of the configuration is. It is safe for concurrent use.
+type configAge struct {
+	// confirmed is when the configuration in force was last known to be the newest one.
+	confirmed latestTime
+	// read is when the table service made the latest of the responses that were read, which may
+	// be from an older copy. It gets old if this process reads late.
+	read latestTime
+	// unavailable is set while the configuration can't be read.
+	unavailable atomic.Bool
+}
+
+// ageMS returns the time since another one in milliseconds, -1 if that is the zero time.
+func ageMS(since, now time.Time) int64 {
+	if since.IsZero() {
 		return -1
 	}
-	return max(now.Sub(confirmed), 0).Milliseconds()
+	return max(now.Sub(since), 0).Milliseconds()
 }
 
-// isConfirmed reports whether no configuration that must be in force now can be missing. Bound is
-// the time after its acknowledgement within which one must be in force, 0 if there is no bound.
-func isConfirmed(confirmed, now time.Time, bound time.Duration) bool {
+// isWithin reports whether a time is known and less than a bound ago. A bound of 0 is none.
+func isWithin(bound time.Duration, since, now time.Time) bool {
 	if bound <= 0 {
 		return true
 	}
-	return !confirmed.IsZero() && now.Sub(confirmed) <= bound-maxClockError
+	return !since.IsZero() && now.Sub(since) <= bound-maxClockError
+}
+
+// ConfigReadAt records that a response of the table service was read, which it had made at a
+// time. Newest is set if it had no later configuration then than the one in force.
+func (r *Router) ConfigReadAt(made time.Time, newest bool) {
+	r.configAge.read.observe(made)
+	if newest {
+		r.configAge.confirmed.observe(made)
+	}
 }
 
-// ConfirmConfig records that the table service had no later configuration at a time than the
-// one in force.
-func (r *Router) ConfirmConfig(asOf time.Time) { r.configAge.confirm(asOf) }
+// SetConfigSourceUnavailable records whether the configuration can't be read.
+func (r *Router) SetConfigSourceUnavailable(unavailable bool) {
+	r.configAge.unavailable.Store(unavailable)
+}
 
 // refuseByConfig refuses a request that the configuration doesn't allow. The refusal is final only
 // if no later configuration, which may allow the request, had to be in force: a process that is
 // cut off from the table service, or gets no processor, can't know.
 func (x *exchange) refuseByConfig(cause refusal.Cause, format string, args ...any) error {
-	if isConfirmed(x.configConfirmed, time.Now(), x.router.opts.Settings.MaxConfigDelay) {
+	if isWithin(x.router.opts.Settings.MaxConfigDelay, x.configConfirmed, time.Now()) {
 		return refusal.NotRun(cause, format, args...)
 	}
+	return x.refuseUnconfirmed().WithError(refusal.NotRun(cause, format, args...))
+}
+
+func (x *exchange) refuseUnconfirmed() *refusal.Error {
 	retryAfter := unconfirmedRetryAfter + rand.N(minShedRetryAfter)
-	return refusal.NotRun(refusal.CauseUnconfirmedConfig, "configuration %d is not confirmed", x.config.version).
-		WithRetryAfter(retryAfter).WithError(refusal.NotRun(cause, format, args...))
+	return refusal.NotRun(refusal.CauseUnconfirmedConfig, "configuration %d is not confirmed", x.config.version).WithRetryAfter(retryAfter)
+}
+
+// checkConfigAge refuses a request while the router's processor or link is saturated and what it
+// last read of the configuration is too old: a later one, which another router serves by, may
+// lie unread. While the table service can't be reached, requests are served by the last one. Its
+// error is a *refusal.Error.
+func (x *exchange) checkConfigAge() error {
+	age := &x.router.configAge
+	if !x.router.overload.saturated.Load() || age.unavailable.Load() ||
+		isWithin(x.router.opts.Settings.MaxConfigDelay, x.configRead, time.Now()) {
+		return nil
+	}
+	return x.refuseUnconfirmed()
 }
--- a/direct/configage_test.go
+++ b/direct/configage_test.go
@@ -19,9 +19,9 @@
 		"too old":         {bound, func(int) int { return http.StatusServiceUnavailable }},
 		"confirmed":       {bound / 2, func(final int) int { return final }},
 	} {
-		g.router.configAge.asOf.Store(nil)
+		g.router.configAge.confirmed.at.Store(nil)
 		if c.age >= 0 {
-			g.router.ConfirmConfig(time.Now().Add(-c.age))
+			g.router.ConfigReadAt(time.Now().Add(-c.age), true)
 		}
 		for path, request := range map[string]struct {
 			key   string
@@ -42,12 +42,41 @@
 	}
 }
 
-func TestAnOvertakenConfirmationDoesNotAgeTheConfiguration(t *testing.T) {
-	var age configAge
+func TestAnOvertakenResponseDoesNotAgeTheConfiguration(t *testing.T) {
+	var read latestTime
 	now := time.Now()
-	age.confirm(now)
-	age.confirm(now.Add(-time.Second))
-	if got := age.confirmed(); !got.Equal(now) {
-		t.Errorf("confirmed %v before the last confirmation", now.Sub(got))
+	read.observe(now)
+	read.observe(now.Add(-time.Second))
+	if got := read.get(); !got.Equal(now) {
+		t.Errorf("read %v before the last response", now.Sub(got))
+	}
+}
+
+// The response that ends a route, or moves it, lies unread.
+func TestProofASaturatedRouterDoesNotServeByAnOldConfiguration(t *testing.T) {
+	const bound = 2 * time.Second
+	for name, c := range map[string]struct {
+		age                    time.Duration
+		newest                 bool
+		saturated, unavailable bool
+		status                 int
+	}{
+		"saturated":                         {bound, true, true, false, http.StatusServiceUnavailable},
+		"saturated, read in time":           {bound / 2, true, true, false, http.StatusOK},
+		"saturated, an older copy in time":  {bound / 2, false, true, false, http.StatusOK},
+		"saturated, cut off from the table": {bound, true, true, true, http.StatusOK},
+		"not saturated":                     {bound, true, false, false, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestRouter(t, 1, func(http.ResponseWriter, *http.Request) {})
+			g.router.opts.Settings.MaxConfigDelay = bound
+			g.router.ConfigReadAt(time.Now().Add(-c.age), c.newest)
+			g.router.SetConfigSourceUnavailable(c.unavailable)
+			g.router.overload.saturated.Store(c.saturated)
+			got := g.send(http.MethodGet, "/read/a", "")
+			if got.status != c.status || (got.header.Get("Retry-After") != "") != (c.status != http.StatusOK) {
+				t.Errorf("status %d with Retry-After %q, want %d", got.status, got.header.Get("Retry-After"), c.status)
+			}
+		})
 	}
 }
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -25,14 +25,14 @@
 
 	meta   RequestMeta
 	config *compiledConfig
-	// configConfirmed is when the table service was last known to have no later configuration,
-	// zero if it isn't known.
-	configConfirmed time.Time
-	route           Route
-	service         string
-	workspace       string
-	rank            int
-	body            []byte
+	// configConfirmed is when config was last known to be the newest one, configRead when the
+	// table service made the last response that was read; zero if not known.
+	configConfirmed, configRead time.Time
+	route                       Route
+	service                     string
+	workspace                   string
+	rank                        int
+	body                        []byte
 	// hold is the memory that the request's bodies and responses take.
 	hold bodyHold
 
--- a/direct/overload.go
+++ b/direct/overload.go
@@ -217,7 +217,7 @@
 		linkGauge.Update(link.share())
 		r.late.linkPPM.Store(int64(link.share() * 1e6))
 		bodyGauge.Update(float64(r.bodies.inUse()))
-		configAgeGauge.Update(float64(ageMS(r.configAge.confirmed(), time.Now())))
+		configAgeGauge.Update(float64(ageMS(r.configAge.confirmed.get(), time.Now())))
 		stalled := r.overload.stalls.tick(time.Since(r.overload.started))
 		if stalled {
 			r.logger.Warn("process stalled; refusing requests until its state is current", "for", elapsed.String(), "resume_in", stallRecovery.String())
--- a/direct/router.go
+++ b/direct/router.go
@@ -408,7 +408,7 @@
 		VM: r.opts.Settings.VM, Ready: r.Ready(), Draining: r.draining.Load(),
 		Unready: r.unreadyReasons(), Pressure: r.pressure(), Peers: r.peers.count(), Lent: r.peers.lender.count(),
 		HandOvers: r.credit.HandOvers(), QuarantinedParts: r.partCrashes.status(),
-		ConfigAgeMS: ageMS(r.configAge.confirmed(), time.Now()), Endpoints: r.endpointStatuses(), Notices: r.noticeStatuses(), Credit: r.creditAccounts(),
+		ConfigAgeMS: ageMS(r.configAge.confirmed.get(), time.Now()), Endpoints: r.endpointStatuses(), Notices: r.noticeStatuses(), Credit: r.creditAccounts(),
 	}
 	d.Evacuated, d.Cold = r.placeViews()
 	d.Limits = r.limitViews()
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -37,12 +37,10 @@
 
 // ServeHTTP handles one request of a caller.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	// The age is read before the configuration, so that it is never that of a later one.
-	confirmed := r.configAge.confirmed()
-	x := &exchange{
-		router: r, writer: w, request: req, started: time.Now(), configConfirmed: confirmed, config: r.config.Load(),
-		hold: bodyHold{budget: r.bodies},
-	}
+	x := &exchange{router: r, writer: w, request: req, started: time.Now(), hold: bodyHold{budget: r.bodies}}
+	// The times are loaded first, so that they are never those of a later configuration.
+	x.configConfirmed, x.configRead = r.configAge.confirmed.get(), r.configAge.read.get()
+	x.config = r.config.Load()
 	defer x.hold.release()
 	r.metrics.requests.Inc(1)
 	if r.draining.Load() || r.overload.saturated.Load() {
@@ -90,6 +88,9 @@
 	if err := x.checkOverload(); err != nil {
 		return err
 	}
+	if err := x.checkConfigAge(); err != nil {
+		return err
+	}
 	x.service = route.pickService(cmp.Or(meta.Resumes, meta.ID))
 	x.rank = x.config.rank(x.workspace, route)
 	x.progress = newProgress(route)
