A late process doesn't take the store for unreachable

Cause: the router is saturated, the probe of the store takes over 0.5 s as its steps wait for the processor, and the store counts as unreachable. All direct calls are cancelled on that, the feed's too, with what had arrived (once 112,949 bytes of a response), and go through other routers that are as late.

--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -86,6 +86,7 @@
 		Table: store, TableCaller: store, Starts: platform.NewReports(), Logger: logger, Metrics: metrics.Scope,
 	})
 	store.RelayThrough(router)
+	store.MeasureLateness(router.LostTime)
 	logger.Info("started", "vm", set.Router.VM, "failure_domain", set.Router.FailureDomain,
 		"incarnation", incarnation, "version", daemon.Version)
 	go validateOnHangup(logger)
--- a/direct/lateness.go
+++ b/direct/lateness.go
@@ -41,6 +41,9 @@
 	return time.Duration(l.total.Load()) + max(time.Since(l.started)-sampledAt-lagSampleInterval, 0)
 }
 
+// LostTime returns the time for which this process got no processor since its start.
+func (r *Router) LostTime() time.Duration { return r.late.sum() }
+
 // withTimeout returns a context for a call with a timeout, which is extended by the time
 // for which this process is late.
 func (l *lateness) withTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
