A saturated router sends nothing by a list of endpoints that it has read too late

Evidence: TestProofASaturatedRouterDoesNotSendByAnOldListOfEndpoints and TestProofARequestIsNotSentOnceTheListIsTooOld fail without the check (1 run, want none; no error).

--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -90,7 +90,8 @@
 	logger.Info("started", "vm", set.Router.VM, "failure_domain", set.Router.FailureDomain,
 		"incarnation", incarnation, "version", daemon.Version)
 	go validateOnHangup(logger)
-	go platform.Follow(ctx, store, router, set.Router.MaxConfigDelay, logger)
+	delays := platform.Delays{Config: set.Router.MaxConfigDelay, Leaving: set.Router.MaxLeavingDelay}
+	go platform.Follow(ctx, store, router, delays, logger)
 	operators := settings.OperatorListener{TokenHash: os.Getenv(operatorTokenHashEnv)}
 	server := ops.NewTokenless(operators, router, metrics, logger)
 	listen := net.JoinHostPort(set.Router.IP, strconv.Itoa(port))
--- a/direct/endpoints.go
+++ b/direct/endpoints.go
@@ -25,8 +25,10 @@
 	picker  *routing.PromptPicker
 	// pickerVersion is the version of the catalog that the picker uses.
 	pickerVersion uint64
-	// listReceived is set once a list of endpoints has been received.
+	// listReceived is set once a list of endpoints has been received, and listAge tells how old
+	// it is.
 	listReceived bool
+	listAge      tableAge
 	// peerCount is the number of other routers. subscribers are notified of changed
 	// loads, one for each stream to another router.
 	peerCount   int
@@ -102,6 +104,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.proofs.sourceUnavailable = unavailable
+	e.listAge.unavailable.Store(unavailable)
 	if unavailable {
 		e.catalog.MarkSourceUnavailable()
 		return
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -28,11 +28,14 @@
 	// configConfirmed is when config was last known to be the newest one, configRead when the
 	// table service made the last response that was read; zero if not known.
 	configConfirmed, configRead time.Time
-	route                       Route
-	service                     string
-	workspace                   string
-	rank                        int
-	body                        []byte
+	// listRead is when the table service made the last response of the list by which the endpoint
+	// was chosen.
+	listRead  time.Time
+	route     Route
+	service   string
+	workspace string
+	rank      int
+	body      []byte
 	// hold is the memory that the request's bodies and responses take.
 	hold bodyHold
 
@@ -89,6 +92,9 @@
 		if err := x.checkStall(); err != nil {
 			return x.giveUpBeforeSending(refusal.FromError(err))
 		}
+		if err := x.checkListAge(); err != nil {
+			return x.giveUpBeforeSending(refusal.FromError(err))
+		}
 		choice, err := x.router.pick(x.pickerQuery())
 		if err != nil {
 			return x.giveUpBeforeSending(x.router.addPauseEnd(refusal.FromError(err), x.service))
--- a/direct/notices.go
+++ b/direct/notices.go
@@ -121,23 +121,25 @@
 }
 
 // OvertakenError reports that an endpoint said that it wants no requests after it was chosen for
-// one. Nothing was sent to it.
+// one, or may have left since. Nothing was sent to it.
 type OvertakenError struct{ Endpoint string }
 
 // Error implements error.
 func (e *OvertakenError) Error() string {
-	return "direct: endpoint " + e.Endpoint + " wants no requests since it was chosen"
+	return "direct: endpoint " + e.Endpoint + " may want no requests since it was chosen"
 }
 
-// checkBeforeSend looks at the notices of the endpoint again before the first byte of a request is
-// sent to it: between the choice and that moment the router waits for the connection, and for its
+// checkBeforeSend looks at the notices of the endpoint, and at the age of the list that had it, again
+// before the first byte of a request is sent to it: between the choice and that moment the router waits for the connection, and for its
 // processor. Its error is an *OvertakenError.
 func (x *exchange) checkBeforeSend(a *attempt) error {
-	if !x.router.barredByNotice(a.choice.Endpoint) {
+	noticed := x.router.barredByNotice(a.choice.Endpoint)
+	if !noticed && !x.listIsLate() {
 		return nil
 	}
-	x.router.logger.Info("endpoint said that it wants no requests after it was chosen", "request", x.meta.ID,
-		"endpoint", a.choice.Endpoint.ID, "address", a.choice.Endpoint.Address, "chosen_ms_ago", time.Since(a.sentAt).Milliseconds())
+	x.router.logger.Info("request not sent to the endpoint that was chosen", "request", x.meta.ID,
+		"endpoint", a.choice.Endpoint.ID, "address", a.choice.Endpoint.Address, "chosen_ms_ago", time.Since(a.sentAt).Milliseconds(),
+		"noticed", noticed, "list_age_ms", ageMS(x.listRead, time.Now()))
 	err := &OvertakenError{Endpoint: a.choice.Endpoint.ID}
 	a.overtaken.Store(err)
 	return err
--- a/direct/router.go
+++ b/direct/router.go
@@ -120,7 +120,7 @@
 	// calls of ApplyConfig.
 	config atomic.Pointer[compiledConfig]
 	// configAge is of the configuration in force.
-	configAge configAge
+	configAge tableAge
 	draining  atomic.Bool
 	// recordSaved is the progress in this router's record, as far as is known, nil if the
 	// table service lacks the record.
--- a/direct/settings.go
+++ b/direct/settings.go
@@ -33,6 +33,9 @@
 	// MaxEventDelay is the longest time that an event of a stream may take from the endpoint
 	// to the caller; 0 if it is not declared.
 	MaxEventDelay time.Duration
+	// MaxLeavingDelay is the time after its registration as leaving in which an endpoint may still
+	// get requests; 0 if it is not declared.
+	MaxLeavingDelay time.Duration
 	// MaxConfigDelay is the time after its acknowledgement within which a configuration must be in
 	// force; 0 if it is not declared.
 	MaxConfigDelay time.Duration
--- a/direct/streamfleet_test.go
+++ b/direct/streamfleet_test.go
@@ -253,7 +253,7 @@
 	if f.listVersion != nil {
 		reads.version = *f.listVersion
 	}
-	r.EndpointsReadAt(0, reads.version)
+	r.EndpointsReadAt(0, reads.version, time.Now())
 }
 
 // overwriteRecord writes the router record of a VM as another writer.
--- a/direct/configage.go
+++ b/direct/tableage.go
@@ -41,14 +41,14 @@
 	return time.Time{}
 }
 
-// configAge tells how old the knowledge of the configuration is. It is safe for concurrent use.
-type configAge struct {
-	// confirmed is when the configuration in force was last known to be the newest one.
-	confirmed latestTime
+// tableAge tells how old the knowledge of a table is. It is safe for concurrent use.
+type tableAge struct {
 	// read is when the table service made the latest of the responses that were read, which may
 	// be from an older copy. It gets old if this process reads late.
 	read latestTime
-	// unavailable is set while the configuration can't be read.
+	// confirmed is when the configuration in force was last known to be the newest one.
+	confirmed latestTime
+	// unavailable is set while the table can't be read.
 	unavailable atomic.Bool
 }
 
@@ -102,10 +102,31 @@
 // lie unread. While the table service can't be reached, requests are served by the last one. Its
 // error is a *refusal.Error.
 func (x *exchange) checkConfigAge() error {
-	age := &x.router.configAge
-	if !x.router.overload.saturated.Load() || age.unavailable.Load() ||
-		isWithin(x.router.opts.Settings.MaxConfigDelay, x.configRead, time.Now()) {
+	if x.router.readLate(&x.router.configAge, x.configRead, x.router.opts.Settings.MaxConfigDelay) {
+		return x.refuseUnconfirmed()
+	}
+	return nil
+}
+
+// readLate reports whether this router is itself the reason for which it knows a table only as of
+// a time that is longer ago than a bound.
+func (r *Router) readLate(of *tableAge, read time.Time, bound time.Duration) bool {
+	return r.overload.saturated.Load() && !of.unavailable.Load() && !isWithin(bound, read, time.Now())
+}
+
+// checkListAge refuses a request that isn't sent yet while the router is saturated and what it last
+// read of the endpoints is too old: one that has left since would get the request. Its error is a
+// *refusal.Error.
+func (x *exchange) checkListAge() error {
+	x.listRead = x.router.listAge.read.get()
+	if !x.listIsLate() {
 		return nil
 	}
-	return x.refuseUnconfirmed()
+	return refusal.NotRun(refusal.CauseOverloaded, "the list of endpoints is not read in time").
+		WithRetryAfter(unconfirmedRetryAfter + rand.N(minShedRetryAfter))
+}
+
+// listIsLate reports whether the list by which an endpoint was chosen is too old to send to it.
+func (x *exchange) listIsLate() bool {
+	return x.router.readLate(&x.router.listAge, x.listRead, x.router.opts.Settings.MaxLeavingDelay)
 }
--- a/direct/configage_test.go
+++ b/direct/tableage_test.go
@@ -80,3 +80,46 @@
 		})
 	}
 }
+
+// The response by which an endpoint leaves lies unread.
+func TestProofASaturatedRouterDoesNotSendByAnOldListOfEndpoints(t *testing.T) {
+	const bound = 2 * time.Second
+	for name, c := range map[string]struct {
+		age                    time.Duration
+		saturated, unavailable bool
+		runs                   int
+	}{
+		"saturated":                         {bound, true, false, 0},
+		"saturated, read in time":           {bound / 2, true, false, 1},
+		"saturated, cut off from the table": {bound, true, true, 1},
+		"not saturated":                     {bound, false, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestRouter(t, 1, func(http.ResponseWriter, *http.Request) {})
+			g.router.opts.Settings.MaxLeavingDelay = bound
+			g.router.EndpointsReadAt(0, 1, time.Now().Add(-c.age))
+			g.router.SetEndpointSourceUnavailable(c.unavailable)
+			g.router.overload.saturated.Store(c.saturated)
+			got := g.send(http.MethodPost, "/book/a", "x")
+			if g.runs() != c.runs || (got.status == http.StatusServiceUnavailable) != (c.runs == 0) {
+				t.Errorf("%d runs, status %d, want %d runs", g.runs(), got.status, c.runs)
+			}
+		})
+	}
+}
+
+// Between the choice and the first byte the router waits for a connection and its processor.
+func TestProofARequestIsNotSentOnceTheListIsTooOld(t *testing.T) {
+	const bound = 2 * time.Second
+	g := newTestRouter(t, 1, func(http.ResponseWriter, *http.Request) {})
+	g.router.opts.Settings.MaxLeavingDelay = bound
+	g.router.overload.saturated.Store(true)
+	x, a := &exchange{router: g.router, listRead: time.Now().Add(-bound / 2)}, &attempt{}
+	if err := x.checkBeforeSend(a); err != nil {
+		t.Fatal(err)
+	}
+	x.listRead = time.Now().Add(-bound)
+	if err := x.checkBeforeSend(a); err == nil || a.overtaken.Load() == nil {
+		t.Errorf("got error %v, want an OvertakenError", err)
+	}
+}
--- a/direct/versionhistory.go
+++ b/direct/versionhistory.go
@@ -66,8 +66,9 @@
 }
 
 // EndpointsReadAt records that the list of endpoints is known as the table service had it at a
-// version of an era. It reports whether a later version is awaited.
-func (r *Router) EndpointsReadAt(era, version uint64) (awaited bool) {
+// version of an era, in a response made at a time. It reports whether a later version is awaited.
+func (r *Router) EndpointsReadAt(era, version uint64, made time.Time) (awaited bool) {
+	r.listAge.read.observe(made)
 	r.streams.updateHistory(func(h *versionHistory) {
 		h.endpointsRead(tablePosition{era, version})
 		awaited = !h.complete
