--- a/direct/tableage.go
+++ b/direct/tableage.go
@@ -111,7 +111,8 @@
 // readLate reports whether this router is itself the reason for which it knows a table only as of
 // a time that is longer ago than a bound.
 func (r *Router) readLate(of *tableAge, read time.Time, bound time.Duration) bool {
-	return r.overload.saturated.Load() && !of.unavailable.Load() && !isWithin(bound, read, time.Now())
+	pressed := r.overload.saturated.Load() || r.overload.stalls.isOld(time.Since(r.overload.started))
+	return pressed && !of.unavailable.Load() && !isWithin(bound, read, time.Now())
 }
 
 // checkListAge refuses a request that isn't sent yet while the router is saturated and what it last
