The age of the list is kept with the attempt that it was chosen by

Found by reading the change: the first byte of an attempt that was given up may be due after the next choice has begun, which set the time of the list in the exchange: a data race, and the wrong time. The attempt has its own now.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -116,7 +116,11 @@
 	conn    *endpointConn
 	request *sentRequest
 	foreign bool
-	// overtaken is set if nothing was sent because the endpoint wants no requests any more.
+	// listRead is when the table service made the last response of the list by which the endpoint
+	// was chosen.
+	listRead time.Time
+	// overtaken is set if nothing was sent because the endpoint wants no requests any more, or may
+	// have left.
 	overtaken atomic.Pointer[OvertakenError]
 	// final is set when another attempt would be of no use. blameless is set when the
 	// failure is this router's.
@@ -141,7 +145,7 @@
 func (x *exchange) startAttempt(ctx context.Context, choice routing.PromptChoice) *attempt {
 	a := &attempt{
 		choice: choice, meta: ResponseMeta{Load: -1, ColdFor: -1, RateLimit: -1}, sentAt: time.Now(), lateBefore: x.router.late.sum(),
-		timer: newPartTimer(ctx, x.route.patience(x.router.patienceFloor)),
+		timer: newPartTimer(ctx, x.route.patience(x.router.patienceFloor)), listRead: x.listRead,
 	}
 	trace := &httptrace.ClientTrace{Got1xxResponse: a.timer.gotInformational}
 	req, err := x.newEndpointRequest(httptrace.WithClientTrace(a.timer.ctx, trace), choice)
--- a/direct/notices.go
+++ b/direct/notices.go
@@ -129,17 +129,18 @@
 	return "direct: endpoint " + e.Endpoint + " may want no requests since it was chosen"
 }
 
-// checkBeforeSend looks at the notices of the endpoint, and at the age of the list that had it, again
-// before the first byte of a request is sent to it: between the choice and that moment the router waits for the connection, and for its
-// processor. Its error is an *OvertakenError.
+// checkBeforeSend looks at the notices of the endpoint, and at the age of the list by which it was
+// chosen, again before the first byte of a request is sent to it: between the choice and that
+// moment the router waits for the connection, and for its processor. Its error is an
+// *OvertakenError.
 func (x *exchange) checkBeforeSend(a *attempt) error {
 	noticed := x.router.barredByNotice(a.choice.Endpoint)
-	if !noticed && !x.listIsLate() {
+	if !noticed && !x.router.listReadLate(a.listRead) {
 		return nil
 	}
 	x.router.logger.Info("request not sent to the endpoint that was chosen", "request", x.meta.ID,
 		"endpoint", a.choice.Endpoint.ID, "address", a.choice.Endpoint.Address, "chosen_ms_ago", time.Since(a.sentAt).Milliseconds(),
-		"noticed", noticed, "list_age_ms", ageMS(x.listRead, time.Now()))
+		"noticed", noticed, "list_age_ms", ageMS(a.listRead, time.Now()))
 	err := &OvertakenError{Endpoint: a.choice.Endpoint.ID}
 	a.overtaken.Store(err)
 	return err
--- a/direct/tableage.go
+++ b/direct/tableage.go
@@ -108,8 +108,8 @@
 	return nil
 }
 
-// readLate reports whether this router is itself the reason for which it knows a table only as of
-// a time that is longer ago than a bound.
+// readLate reports whether what was read of a table is older than a bound, and this router is itself
+// the reason: it gets too little of its processor or link, and the table can be read.
 func (r *Router) readLate(of *tableAge, read time.Time, bound time.Duration) bool {
 	pressed := r.overload.saturated.Load() || r.overload.stalls.isOld(time.Since(r.overload.started))
 	return pressed && !of.unavailable.Load() && !isWithin(bound, read, time.Now())
@@ -120,14 +120,15 @@
 // *refusal.Error.
 func (x *exchange) checkListAge() error {
 	x.listRead = x.router.listAge.read.get()
-	if !x.listIsLate() {
+	if !x.router.listReadLate(x.listRead) {
 		return nil
 	}
 	return refusal.NotRun(refusal.CauseOverloaded, "the list of endpoints is not read in time").
 		WithRetryAfter(unconfirmedRetryAfter + rand.N(minShedRetryAfter))
 }
 
-// listIsLate reports whether the list by which an endpoint was chosen is too old to send to it.
-func (x *exchange) listIsLate() bool {
-	return x.router.readLate(&x.router.listAge, x.listRead, x.router.opts.Settings.MaxLeavingDelay)
+// listReadLate reports whether the list of endpoints as it was read at a time is too old to send a
+// request by it.
+func (r *Router) listReadLate(read time.Time) bool {
+	return r.readLate(&r.listAge, read, r.opts.Settings.MaxLeavingDelay)
 }
--- a/direct/tableage_test.go
+++ b/direct/tableage_test.go
@@ -114,11 +114,11 @@
 	g := newTestRouter(t, 1, func(http.ResponseWriter, *http.Request) {})
 	g.router.opts.Settings.MaxLeavingDelay = bound
 	g.router.overload.saturated.Store(true)
-	x, a := &exchange{router: g.router, listRead: time.Now().Add(-bound / 2)}, &attempt{}
+	x, a := &exchange{router: g.router}, &attempt{listRead: time.Now().Add(-bound / 2)}
 	if err := x.checkBeforeSend(a); err != nil {
 		t.Fatal(err)
 	}
-	x.listRead = time.Now().Add(-bound)
+	a.listRead = time.Now().Add(-bound)
 	if err := x.checkBeforeSend(a); err == nil || a.overtaken.Load() == nil {
 		t.Errorf("got error %v, want an OvertakenError", err)
 	}
