A stop's cut-off requests and handlers' panics in the log

A request that the router itself cut off at the end of a shutdown was logged with caller_left true, and a panic of a handler, which ends a connection without a response, at debug level, which is off. So a stop that cuts requests couldn't be told from callers that left, nor either from a race.

Nothing else changes.

--- a/direct/router.go
+++ b/direct/router.go
@@ -122,6 +122,11 @@
 	// configAge is of the configuration in force.
 	configAge tableAge
 	draining  atomic.Bool
+	// stopRequested is when the process was asked to stop, nil before. cutOff is set when the
+	// connections of the requests in flight are closed.
+	stopRequested atomic.Pointer[time.Time]
+	cutOff        atomic.Bool
+	inFlight      atomic.Int64
 	// recordSaved is the progress in this router's record, as far as is known, nil if the
 	// table service lacks the record.
 	recordSaved atomic.Pointer[prepaid.EraProgress]
@@ -205,7 +210,8 @@
 	countedCallers := r.overload.traffic.listen(callerListener)
 	callerServer := &http.Server{
 		Handler: r, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
-		ErrorLog:  slog.NewLogLogger(r.logger.Handler(), slog.LevelDebug),
+		// Among these messages are the panics of handlers, which end a connection without a response.
+		ErrorLog:  slog.NewLogLogger(r.logger.Handler(), slog.LevelWarn),
 		ConnState: countedCallers.trackState,
 	}
 	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: readHeaderTimeout}
@@ -322,8 +328,9 @@
 // that are still in flight near the end of the shutdown grace.
 func (r *Router) drain(callerServer *http.Server, listener *countedListener) error {
 	stopRequested := time.Now()
+	r.stopRequested.Store(&stopRequested)
 	r.draining.Store(true)
-	r.logger.Info("draining", "grace", r.opts.Settings.ShutdownGrace.String())
+	r.logger.Info("draining", "grace", r.opts.Settings.ShutdownGrace.String(), "in_flight", r.inFlight.Load())
 	time.Sleep(balancerDelay)
 	// Shutdown would drop the requests that it finds unread.
 	_ = listener.Close()
@@ -332,7 +339,8 @@
 	drainCtx, cancel := context.WithDeadline(context.Background(), stopRequested.Add(inFlightTimeout(r.opts.Settings.ShutdownGrace)))
 	defer cancel()
 	if err := callerServer.Shutdown(drainCtx); err != nil {
-		r.logger.Warn("in-flight requests cut off near the end of the shutdown grace", "error", err.Error())
+		r.cutOff.Store(true)
+		r.logger.Warn("in-flight requests cut off near the end of the shutdown grace", "requests", r.inFlight.Load(), "error", err.Error())
 		return callerServer.Close()
 	}
 	r.awaitLentCredit(drainCtx)
