Failing tests: a stop cuts off requests and connections whose callers can't know

- a request that outlasts the shutdown grace gets a closed connection, plain or before the first event of a stream;
- a request with a deadline far beyond the grace is taken after the request to stop, and cut off;
- a response that is written after the request to stop, to a request from before it, doesn't say that the connection ends;
- a caller that wasn't told so sends its next request on a connection that is closed already.

--- /dev/null
+++ b/direct/drain_test.go
@@ -0,0 +1,257 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"jackdawswitch/catalog"
+	"jackdawswitch/rpc/memnet"
+	"jackdawswitch/standin"
+)
+
+// runningRouter is a router that serves callers over TCP until it is stopped.
+type runningRouter struct {
+	*testRouter
+	address string
+	// stop asks the router to stop. stopped gets the result of Run.
+	stop    func()
+	stopped chan error
+	log     *logLines
+}
+
+// logLines are the lines that a logger wrote.
+type logLines struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// Write implements io.Writer.
+func (l *logLines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(b))
+	return len(b), nil
+}
+
+// find returns the fields of the first line with a message, nil if there is none.
+func (l *logLines) find(message string) map[string]any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.lines {
+		fields := map[string]any{}
+		if json.Unmarshal([]byte(line), &fields) == nil && fields["msg"] == message {
+			return fields
+		}
+	}
+	return nil
+}
+
+// runRouter starts a router with one endpoint, which responds by handler, and a shutdown grace.
+func runRouter(t *testing.T, grace time.Duration, handler func(w http.ResponseWriter, r *http.Request)) *runningRouter {
+	t.Helper()
+	g := &runningRouter{
+		testRouter: &testRouter{t: t, table: standin.NewTable(), handler: handler},
+		address:    freeAddress(t), stopped: make(chan error, 1), log: &logLines{},
+	}
+	g.router = New(Options{
+		Settings: Settings{
+			VM: "vm", FailureDomain: "fd", CallerAddress: g.address, ReadinessAddress: freeAddress(t), PeerAddress: "vm",
+			ShutdownGrace: grace,
+		},
+		Incarnation: 7, Network: memnet.New().Host("vm"), Protocol: testProtocol{}, Table: g.table,
+		Logger: slog.New(slog.NewJSONHandler(g.log, nil)), Metrics: tally.NoopScope,
+	})
+	g.router.ReplaceEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Address: g.startEndpoint("e")}})
+	cfg := testConfig()
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout = time.Minute
+	}
+	g.router.ApplyConfig(cfg)
+	ctx, stop := context.WithCancel(context.Background())
+	g.stop = stop
+	t.Cleanup(stop)
+	go func() { g.stopped <- g.router.Run(ctx) }()
+	eventually(t, "the router listens", func() bool {
+		conn, err := net.Dial("tcp", g.address)
+		if err != nil {
+			return false
+		}
+		_ = conn.Close()
+		return true
+	})
+	return g
+}
+
+// stopResponse is what a caller got while the router stopped.
+type stopResponse struct {
+	status int
+	header http.Header
+	body   string
+	// closes is set if the response says that its connection ends.
+	closes bool
+	// err is the failure of the request, bodyErr that of reading the body.
+	err, bodyErr error
+	took         time.Duration
+}
+
+// call sends a request with a deadline on a connection of its own, or one of client's.
+func (g *runningRouter) call(client *http.Client, path, deadlineMS string) stopResponse {
+	req, err := http.NewRequest(http.MethodPost, "http://"+g.address+path, strings.NewReader("x"))
+	if err != nil {
+		return stopResponse{err: err}
+	}
+	req.Host, req.GetBody = "h.example", nil
+	for name, value := range map[string]string{"T-Id": "r1", "T-Key": testKey, "T-Deadline": deadlineMS} {
+		req.Header.Set(name, value)
+	}
+	if client == nil {
+		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	}
+	sent := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return stopResponse{err: err, took: time.Since(sent)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return stopResponse{
+		status: resp.StatusCode, header: resp.Header, body: string(data), closes: resp.Close, bodyErr: err, took: time.Since(sent),
+	}
+}
+
+// runUntilCancelled is the handler of an endpoint that works until its request is cancelled.
+func runUntilCancelled(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+
+func TestProofARequestThatOutlastsTheShutdownGraceIsAnswered(t *testing.T) {
+	t.Parallel()
+	g := runRouter(t, 4*time.Second, runUntilCancelled)
+	answers := make(chan stopResponse, 3)
+	for _, path := range []string{"/book/a", "/read/a", "/stream/a"} {
+		go func() { answers <- g.call(nil, path, "30000") }()
+	}
+	eventually(t, "the requests run", func() bool { return g.runs() == cap(answers) })
+	g.stop()
+	for range cap(answers) {
+		if got := <-answers; got.status != http.StatusGatewayTimeout || got.bodyErr != nil || !strings.Contains(got.body, `"notRun":false`) {
+			t.Errorf("got %+v, want a complete 504 that doesn't promise that the request has not run", got)
+		}
+	}
+	if err := <-g.stopped; err != nil {
+		t.Error(err)
+	}
+	if line := g.log.find("request refused"); line == nil || line["caller_left"] != false || line["cause"] != "stopping" {
+		t.Errorf("log line %v, want cause stopping and no caller that left", line)
+	}
+}
+
+func TestProofAStreamThatOutlastsTheShutdownGraceDoesNotLookComplete(t *testing.T) {
+	t.Parallel()
+	g := runRouter(t, 4*time.Second, func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 2)
+		<-r.Context().Done()
+	})
+	answer := make(chan stopResponse, 1)
+	go func() { answer <- g.call(nil, "/stream/a", "30000") }()
+	eventually(t, "the stream runs", func() bool { return g.runs() == 1 })
+	g.stop()
+	if got := <-answer; got.status != http.StatusOK || got.bodyErr == nil || got.body != testEvent(1)+testEvent(2) {
+		t.Errorf("got %+v, want two whole events and no end of the response", got)
+	}
+	if err := <-g.stopped; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestProofAStoppingRouterRefusesAtOnceWhatItCanNotFinish(t *testing.T) {
+	t.Parallel()
+	g := runRouter(t, 4*time.Second, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/book/") {
+			runUntilCancelled(w, r)
+		}
+	})
+	client := &http.Client{Transport: &http.Transport{}}
+	if got := g.call(client, "/read/a", "30000"); got.status != http.StatusOK {
+		t.Fatalf("before the stop: %+v", got)
+	}
+	runs := g.runs()
+	g.stop()
+	eventually(t, "the router drains", func() bool { return g.router.draining.Load() })
+	for name, c := range map[string]struct {
+		path, deadline string
+		status         int
+	}{
+		"long, its kind isn't known":     {"/book/a", "30000", http.StatusServiceUnavailable},
+		"long, its kind ends in time":    {"/read/a", "30000", http.StatusOK},
+		"its deadline is before the end": {"/book/a", "200", http.StatusGatewayTimeout},
+	} {
+		got := g.call(nil, c.path, c.deadline)
+		if got.status != c.status || got.took > time.Second {
+			t.Errorf("%s: got %+v, want status %d", name, got, c.status)
+		}
+		if got.status == http.StatusServiceUnavailable && (got.header.Get("Retry-After") == "" || !strings.Contains(got.body, `"notRun":true`)) {
+			t.Errorf("%s: got %+v, want the time to come back and a promise that it has not run", name, got)
+		}
+	}
+	if more := g.runs() - runs; more != 2 {
+		t.Errorf("%d requests reached the endpoint, want 2", more)
+	}
+}
+
+func TestProofAResponseThatEndsAfterTheStopBeganEndsItsConnection(t *testing.T) {
+	t.Parallel()
+	finish := make(chan struct{})
+	g := runRouter(t, 4*time.Second, func(w http.ResponseWriter, _ *http.Request) {
+		<-finish
+		_, _ = io.WriteString(w, "done")
+	})
+	answer := make(chan stopResponse, 1)
+	go func() { answer <- g.call(&http.Client{Transport: &http.Transport{}}, "/read/a", "30000") }()
+	eventually(t, "the request runs", func() bool { return g.runs() == 1 })
+	g.stop()
+	eventually(t, "the router drains", func() bool { return g.router.draining.Load() })
+	close(finish)
+	if got := <-answer; got.body != "done" || !got.closes {
+		t.Errorf("got %+v, want an answer that tells that the connection ends", got)
+	}
+}
+
+func TestProofAConnectionThatItsCallerMayUseIsServedUntilTheRouterStops(t *testing.T) {
+	t.Parallel()
+	finish := make(chan struct{})
+	g := runRouter(t, 8*time.Second, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/stream/") {
+			writeEvents(w, 1, 1)
+			<-finish
+			return
+		}
+		_, _ = io.WriteString(w, "done")
+	})
+	client := &http.Client{Transport: &http.Transport{}}
+	answer := make(chan stopResponse, 1)
+	go func() { answer <- g.call(client, "/stream/a", "30000") }()
+	eventually(t, "the stream runs", func() bool { return g.runs() == 1 })
+	g.stop()
+	// The response that says that the connection is kept was written before the stop.
+	time.Sleep(balancerDelay + 200*time.Millisecond)
+	close(finish)
+	if got := <-answer; got.bodyErr != nil || got.closes {
+		t.Fatalf("the stream: %+v", got)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if got := g.call(client, "/read/a", "500"); got.body != "done" || !got.closes {
+		t.Errorf("the next request on the connection: %+v, want an answer that tells that the connection ends", got)
+	}
+	if err := <-g.stopped; err != nil {
+		t.Error(err)
+	}
+}
