Connections of callers end by a response that says so, or unused

What callers saw: after SIGTERM, a request on a kept connection met its end: EOF or a reset, no answer. The response before hadn't said that the connection would end, as that was decided when its request arrived, not when it was written; and 2.5 s after SIGTERM all idle connections were closed, whether or not a request was on its way.

A response says whether its connection is kept by what holds when its headers are written. Responses that keep it say for how long an idle one may be used (Keep-Alive: timeout=2, shorter than the 2.5 s for which a draining router listens). A draining router closes an idle connection only once that time, with a margin, has passed: its caller then doesn't use it any more. A request of which a byte was read is never cut off by that. Nothing calls Shutdown of net/http, which drops requests that it has read and not yet begun to handle.

A router without open connections stops after 2.5 s as before.

--- /dev/null
+++ b/direct/drain.go
@@ -0,0 +1,90 @@
+package direct
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"jackdawswitch/shutdown"
+)
+
+const (
+	// balancerDelay is how long the load balancer may still send new connections
+	// after the process became unready: two health checks of a second each, with
+	// some margin.
+	balancerDelay = 2500 * time.Millisecond
+
+	// grantReturnTime is the part of the shutdown grace reserved for returning
+	// grants: some tens of calls of about 10 ms each. Before it, the settlements at other
+	// routers take up to settleTimeout.
+	grantReturnTime = 600 * time.Millisecond
+
+	// processExitTime is the part of the shutdown grace reserved for the exit of the
+	// process after that.
+	processExitTime = 100 * time.Millisecond
+
+	// drainCheckInterval is how often a draining router looks for connections that are no
+	// longer used.
+	drainCheckInterval = 20 * time.Millisecond
+)
+
+// drainState is what the requests see of a shutdown.
+type drainState struct {
+	// timetable is nil until the process is asked to stop.
+	timetable atomic.Pointer[shutdown.Timetable]
+	// inFlight is the number of requests whose handling has begun and not ended. cutOff is set
+	// when the connections that are left are closed.
+	inFlight atomic.Int64
+	cutOff   atomic.Bool
+}
+
+// newTimetable returns the timetable of a router that was asked to stop at a moment.
+func newTimetable(asked time.Time, grace time.Duration) shutdown.Timetable {
+	return shutdown.NewTimetable(asked, grace, balancerDelay, settleTimeout+grantReturnTime+processExitTime)
+}
+
+// announceConnection tells the caller whether it may use the connection for another request. It is
+// called when the response headers are written, as the router may have begun to stop since the
+// request arrived.
+func (x *exchange) announceConnection() {
+	header := x.writer.Header()
+	if x.router.draining.Load() || x.router.overload.saturated.Load() {
+		// The caller's next connection goes to another router.
+		header.Set("Connection", "close")
+		return
+	}
+	header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(callerIdleTime/time.Second)))
+}
+
+// drainCallers ends the service of callers. The router reports itself unready, and closes the
+// listener once the load balancer must have noticed. Connections are closed by a response that
+// says so, or once their callers don't use them any more. Requests that are still in flight near
+// the end of the shutdown grace are cut off.
+func (r *Router) drainCallers(callerServer *http.Server, listener *callerListener) {
+	timetable := newTimetable(time.Now(), r.opts.Settings.ShutdownGrace)
+	r.drain.timetable.Store(&timetable)
+	r.draining.Store(true)
+	r.logger.Info("draining", "grace", r.opts.Settings.ShutdownGrace.String(), "in_flight", r.drain.inFlight.Load())
+	time.Sleep(time.Until(timetable.CloseListener))
+	_ = listener.Close()
+	closed, left, busy := r.awaitCallers(listener, timetable.EndRequests, func(left, _ int) bool { return left == 0 })
+	r.logger.Info("callers drained", "connections_closed_unused", closed, "connections_cut", left, "requests_cut", busy)
+	r.drain.cutOff.Store(true)
+	_ = callerServer.Close()
+}
+
+// awaitCallers closes connections that their callers don't use any more until done returns true or
+// a moment has come. It returns how many it closed, how many are left, and how many of these have
+// a request.
+func (r *Router) awaitCallers(listener *callerListener, until time.Time, done func(left, busy int) bool) (closed, left, busy int) {
+	for {
+		n, left, busy := listener.closeUnused(time.Now())
+		closed += n
+		wait := min(time.Until(until), drainCheckInterval)
+		if wait <= 0 || done(left, busy) {
+			return closed, left, busy
+		}
+		time.Sleep(wait)
+	}
+}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -240,6 +240,7 @@
 		header[name] = values
 	}
 	header.Set("Content-Length", strconv.Itoa(len(a.body)))
+	x.announceConnection()
 	x.headSent = true
 	x.firstByteAt = time.Now()
 	x.writer.WriteHeader(a.status)
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -67,6 +67,7 @@
 		x.router.logger.Error("failed to encode the refusal", "request", x.meta.ID, "error", err.Error())
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
+	x.announceConnection()
 	x.writer.WriteHeader(status)
 	if _, err := x.writer.Write(body); err != nil {
 		x.router.logger.Debug("failed to write the refusal to the caller", "request", x.meta.ID, "error", err.Error())
--- a/direct/router.go
+++ b/direct/router.go
@@ -51,21 +51,6 @@
 	// are dropped.
 	streamExpiryInterval = 2 * time.Second
 
-	// balancerDelay is how long the load balancer may still send new connections
-	// after the process became unready: two health checks of a second each, with
-	// some margin.
-	balancerDelay = 2500 * time.Millisecond
-
-	// grantReturnTime is the part of the shutdown grace reserved for returning
-	// grants: some tens of calls of about 10 ms each. In-flight requests may run
-	// until it starts, and until the settlements at other routers, which take up to
-	// settleTimeout.
-	grantReturnTime = 600 * time.Millisecond
-
-	// processExitTime is the part of the shutdown grace reserved for the exit of the
-	// process after that.
-	processExitTime = 100 * time.Millisecond
-
 	// readHeaderTimeout, maxHeaderBytes and idleTimeout are the limits of the HTTP
 	// listeners. They are fixed and generous, because the listeners open before the
 	// first configuration is known and stay open when it changes.
@@ -121,12 +106,9 @@
 	config atomic.Pointer[compiledConfig]
 	// configAge is of the configuration in force.
 	configAge tableAge
-	draining  atomic.Bool
-	// stopRequested is when the process was asked to stop, nil before. cutOff is set when the
-	// connections of the requests in flight are closed.
-	stopRequested atomic.Pointer[time.Time]
-	cutOff        atomic.Bool
-	inFlight      atomic.Int64
+	// draining is set once the process was asked to stop; drain has the times of that.
+	draining atomic.Bool
+	drain    *drainState
 	// recordSaved is the progress in this router's record, as far as is known, nil if the
 	// table service lacks the record.
 	recordSaved atomic.Pointer[prepaid.EraProgress]
@@ -141,6 +123,7 @@
 		logger:      opts.Logger,
 		metrics:     newMetrics(opts.Metrics),
 		retries:     newRetryBudgets(opts.Settings.MaxRetryShare, opts.Settings.MaxRetryBurst),
+		drain:       &drainState{},
 	}
 	r.usePlaces(newPlaces(opts.Settings, opts.Logger, opts.Metrics))
 	r.useLimits(newLimits(opts.Settings.VM, opts.Logger, opts.Metrics))
@@ -199,24 +182,23 @@
 	return !r.draining.Load() && !r.overload.saturated.Load() && r.config.Load() != nil && r.hasEndpointList()
 }
 
-// Run serves until ctx ends or an HTTP listener fails. At the end of ctx it drains:
-// it waits for the in-flight requests as long as the shutdown grace allows. In both
-// cases it then stops all tasks and returns the grants.
+// Run serves until ctx ends or an HTTP listener fails. At the end of ctx it drains: see
+// drainCallers. In both cases it then stops all tasks and returns the grants.
 func (r *Router) Run(ctx context.Context) error {
 	callerListener, readinessListener, peerListener, err := r.listen()
 	if err != nil {
 		return err
 	}
-	countedCallers := r.overload.traffic.listen(callerListener)
+	callers := r.overload.traffic.listen(callerListener)
 	callerServer := &http.Server{
 		Handler: r, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 		// Among these messages are the panics of handlers, which end a connection without a response.
 		ErrorLog:  slog.NewLogLogger(r.logger.Handler(), slog.LevelWarn),
-		ConnState: countedCallers.trackState,
+		ConnState: callers.trackState,
 	}
 	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 2)
-	go func() { failed <- callerServer.Serve(countedCallers) }()
+	go func() { failed <- callerServer.Serve(callers) }()
 	go func() { failed <- readinessServer.Serve(readinessListener) }()
 	taskCtx, stopTasks := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -232,7 +214,8 @@
 	case err = <-failed:
 		r.logger.Error("HTTP listener failed, stopping", "error", err.Error())
 	case <-ctx.Done():
-		err = r.drain(callerServer, countedCallers)
+		r.drainCallers(callerServer, callers)
+		r.awaitLentCredit()
 	}
 	r.fleetCredit.close()
 	stopTasks()
@@ -323,49 +306,19 @@
 	}
 }
 
-// drain shuts down the callers' server in two steps: it first reports unready, and
-// closes the listener once the load balancer must have noticed. It cuts off requests
-// that are still in flight near the end of the shutdown grace.
-func (r *Router) drain(callerServer *http.Server, listener *countedListener) error {
-	stopRequested := time.Now()
-	r.stopRequested.Store(&stopRequested)
-	r.draining.Store(true)
-	r.logger.Info("draining", "grace", r.opts.Settings.ShutdownGrace.String(), "in_flight", r.inFlight.Load())
-	time.Sleep(balancerDelay)
-	// Shutdown would drop the requests that it finds unread.
-	_ = listener.Close()
-	callerServer.SetKeepAlivesEnabled(false)
-	listener.awaitNonePending()
-	drainCtx, cancel := context.WithDeadline(context.Background(), stopRequested.Add(inFlightTimeout(r.opts.Settings.ShutdownGrace)))
-	defer cancel()
-	if err := callerServer.Shutdown(drainCtx); err != nil {
-		r.cutOff.Store(true)
-		r.logger.Warn("in-flight requests cut off near the end of the shutdown grace", "requests", r.inFlight.Load(), "error", err.Error())
-		return callerServer.Close()
-	}
-	r.awaitLentCredit(drainCtx)
-	return nil
-}
-
-// awaitLentCredit waits for the end of the reservations for requests at other routers.
-// Those that are still open when the grants are returned count in full.
-func (r *Router) awaitLentCredit(ctx context.Context) {
+// awaitLentCredit waits for the end of the reservations for requests at other routers, until the
+// requests of this one would be ended. Those that are still open when the grants are returned
+// count in full.
+func (r *Router) awaitLentCredit() {
 	for r.peers.lender.count() > 0 {
-		select {
-		case <-ctx.Done():
+		if !time.Now().Before(r.drain.timetable.Load().EndRequests) {
 			r.logger.Warn("credit reserved for other routers charged in full", "reservations", r.peers.lender.count())
 			return
-		case <-time.After(lentCreditCheckInterval):
 		}
+		time.Sleep(lentCreditCheckInterval)
 	}
 }
 
-// inFlightTimeout returns how long in-flight requests may run on after the request
-// to stop.
-func inFlightTimeout(grace time.Duration) time.Duration {
-	return max(grace-settleTimeout-grantReturnTime-processExitTime, grace/2)
-}
-
 func (r *Router) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !r.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -43,12 +43,8 @@
 	x.config = r.config.Load()
 	defer x.hold.release()
 	r.metrics.requests.Inc(1)
-	r.inFlight.Add(1)
-	defer r.inFlight.Add(-1)
-	if r.draining.Load() || r.overload.saturated.Load() {
-		// The caller's next connection goes to another router.
-		w.Header().Set("Connection", "close")
-	}
+	r.drain.inFlight.Add(1)
+	defer r.drain.inFlight.Add(-1)
 	err := x.prepare()
 	var cancel context.CancelFunc
 	if err == nil {
@@ -258,8 +254,8 @@
 	if x.resumesStream() {
 		fields = append(fields, "resumes", logged(x.meta.Resumes), "resumes_after", logged(x.meta.LastEventID))
 	}
-	if stop := x.router.stopRequested.Load(); stop != nil {
-		fields = append(fields, "began_since_stop_ms", x.started.Sub(*stop).Milliseconds())
+	if timetable := x.router.drain.timetable.Load(); timetable != nil {
+		fields = append(fields, "began_since_stop_ms", x.started.Sub(timetable.Asked).Milliseconds())
 	}
 	if !x.firstByteAt.IsZero() {
 		fields = append(fields, "first_ms", x.firstByteAt.Sub(x.started).Milliseconds())
@@ -278,7 +274,7 @@
 	}
 	r := refusal.FromError(err)
 	fields = append(fields, "cause", string(r.Cause), "run_state", r.RunState.String(),
-		"retry_after_ms", r.RetryAfter.Milliseconds(), "caller_left", x.callerDisconnected() && !x.router.cutOff.Load(), "cut_off", x.router.cutOff.Load(), "error", r.Error())
+		"retry_after_ms", r.RetryAfter.Milliseconds(), "caller_left", x.callerDisconnected() && !x.router.drain.cutOff.Load(), "cut_off", x.router.drain.cutOff.Load(), "error", r.Error())
 	x.router.logger.Info("request refused", fields...)
 }
 
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -170,6 +170,7 @@
 	for name, values := range x.router.opts.Protocol.CallerHeaders(a.header) {
 		header[name] = values
 	}
+	x.announceConnection()
 	x.writer.WriteHeader(http.StatusOK)
 }
 
--- a/direct/traffic.go
+++ b/direct/traffic.go
@@ -3,26 +3,12 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
-	"time"
-)
-
-const (
-	// maxPendingDelay bounds the wait for the first requests of accepted connections:
-	// callers that need longer don't wait for the connection either.
-	maxPendingDelay = time.Second
-	pendingInterval = 10 * time.Millisecond
 )
 
 // traffic counts the bytes of a router's connections.
 type traffic struct{ received, sent atomic.Int64 }
 
-// listen returns a listener whose connections are counted.
-func (t *traffic) listen(l net.Listener) *countedListener {
-	return &countedListener{Listener: l, traffic: t}
-}
-
 // dialedKey is the context key of where a dialed connection is stored.
 type dialedKey struct{}
 
@@ -46,50 +32,9 @@
 	}
 }
 
-type countedListener struct {
-	net.Listener
-	traffic *traffic
-	// pending is the number of accepted connections whose first request wasn't read yet.
-	pending atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, traffic: l.traffic}, nil
-}
-
-// trackState is the ConnState hook of the server.
-func (l *countedListener) trackState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*countedConn)
-	switch {
-	case !ok:
-	case state == http.StateNew:
-		c.pending.Store(true)
-		l.pending.Add(1)
-	case c.pending.CompareAndSwap(true, false):
-		l.pending.Add(-1)
-	}
-}
-
-// awaitNonePending waits until the first request of each accepted connection has been read,
-// at most maxPendingDelay. The shutdown of the server drops those that it reads later.
-func (l *countedListener) awaitNonePending() {
-	for end := time.Now().Add(maxPendingDelay); time.Now().Before(end) && l.pending.Load() > 0; {
-		time.Sleep(pendingInterval)
-	}
-	// The server checks for its shutdown once more right after it has read a request.
-	time.Sleep(pendingInterval)
-}
-
 type countedConn struct {
 	net.Conn
 	traffic *traffic
-	// pending is set until the first request of the connection has been read.
-	pending atomic.Bool
 	// reader is told of the bytes received; nil for none.
 	reader atomic.Pointer[partTimer]
 	// request is the request that is sent next or was sent last, nil for none.
