Requests that outlast the shutdown grace get an answer

What callers saw: 7.1 s after SIGTERM with a grace of 8 s (3.1 s with 4 s), a request that the router had taken ended with a closed connection, without a status: all requests in flight were cut off by Close of the server. The endpoint may have run it.

The connections are cut only after that; what is then still open is logged (connections_cut, requests_cut).

--- a/direct/drain.go
+++ b/direct/drain.go
@@ -1,11 +1,14 @@
 package direct
 
 import (
+	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"jackdawswitch/refusal"
 	"jackdawswitch/shutdown"
 )
 
@@ -33,17 +36,41 @@
 type drainState struct {
 	// timetable is nil until the process is asked to stop.
 	timetable atomic.Pointer[shutdown.Timetable]
+	// requestsEnd ends when the requests in flight are ended.
+	requestsEnd context.Context
+	endRequests context.CancelFunc
 	// inFlight is the number of requests whose handling has begun and not ended. cutOff is set
 	// when the connections that are left are closed.
 	inFlight atomic.Int64
 	cutOff   atomic.Bool
 }
 
+func newDrainState() *drainState {
+	d := &drainState{}
+	d.requestsEnd, d.endRequests = context.WithCancel(context.Background())
+	return d
+}
+
 // newTimetable returns the timetable of a router that was asked to stop at a moment.
 func newTimetable(asked time.Time, grace time.Duration) shutdown.Timetable {
 	return shutdown.NewTimetable(asked, grace, balancerDelay, settleTimeout+grantReturnTime+processExitTime)
 }
 
+// hasEnded reports whether the requests in flight were ended because the process stops.
+func (d *drainState) hasEnded() bool { return d.requestsEnd.Err() != nil }
+
+// stoppingRetryAfter returns the retry-after delay of requests that a stopping router refuses.
+// The caller's next connection goes to another router.
+func stoppingRetryAfter() time.Duration { return minShedRetryAfter + rand.N(minShedRetryAfter) }
+
+// stoppedRefusal returns the refusal of a request that the router ended because it stops.
+func (x *exchange) stoppedRefusal(notRun bool) *refusal.Error {
+	if notRun {
+		return refusal.NotRun(refusal.CauseStopping, "the router stops").WithRetryAfter(stoppingRetryAfter())
+	}
+	return refusal.MayHaveRun(refusal.CauseStopping, "the router stops before the answer is ready")
+}
+
 // announceConnection tells the caller whether it may use the connection for another request. It is
 // called when the response headers are written, as the router may have begun to stop since the
 // request arrived.
@@ -59,8 +86,8 @@
 
 // drainCallers ends the service of callers. The router reports itself unready, and closes the
 // listener once the load balancer must have noticed. Connections are closed by a response that
-// says so, or once their callers don't use them any more. Requests that are still in flight near
-// the end of the shutdown grace are cut off.
+// says so, or once their callers don't use them any more. Near the end of the shutdown grace,
+// the requests still in flight are ended with a response.
 func (r *Router) drainCallers(callerServer *http.Server, listener *callerListener) {
 	timetable := newTimetable(time.Now(), r.opts.Settings.ShutdownGrace)
 	r.drain.timetable.Store(&timetable)
@@ -69,7 +96,12 @@
 	time.Sleep(time.Until(timetable.CloseListener))
 	_ = listener.Close()
 	closed, left, busy := r.awaitCallers(listener, timetable.EndRequests, func(left, _ int) bool { return left == 0 })
-	r.logger.Info("callers drained", "connections_closed_unused", closed, "connections_cut", left, "requests_cut", busy)
+	if left > 0 {
+		r.logger.Warn("requests in flight ended near the end of the shutdown grace", "requests", busy, "connections", left)
+	}
+	r.drain.endRequests()
+	more, left, busy := r.awaitCallers(listener, timetable.CloseConnections, func(_, busy int) bool { return busy == 0 })
+	r.logger.Info("callers drained", "connections_closed_unused", closed+more, "connections_cut", left, "requests_cut", busy)
 	r.drain.cutOff.Store(true)
 	_ = callerServer.Close()
 }
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -219,6 +219,9 @@
 		}
 		return refusal.MayHaveRun(refusal.CauseDeadlineExceeded, "the answer was not ready in time").WithError(lastErr)
 	}
+	if x.router.drain.hasEnded() {
+		return x.stoppedRefusal(notRun).WithError(lastErr)
+	}
 	if notRun {
 		r := refusal.NotRun(refusal.CauseOverloaded, "no endpoint took the request").WithRetryAfter(overloadedRetryAfter).WithError(lastErr)
 		return x.router.addPauseEnd(r, x.service)
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -35,6 +35,9 @@
 		// among them.
 		status = http.StatusServiceUnavailable
 	}
+	if r.Cause == refusal.CauseStopping && r.RunState != pb.RunState_RUN_STATE_NOT_RUN {
+		return http.StatusGatewayTimeout
+	}
 	if notRunStatuses[status] && r.RunState != pb.RunState_RUN_STATE_NOT_RUN {
 		return http.StatusBadGateway
 	}
--- a/direct/router.go
+++ b/direct/router.go
@@ -123,7 +123,7 @@
 		logger:      opts.Logger,
 		metrics:     newMetrics(opts.Metrics),
 		retries:     newRetryBudgets(opts.Settings.MaxRetryShare, opts.Settings.MaxRetryBurst),
-		drain:       &drainState{},
+		drain:       newDrainState(),
 	}
 	r.usePlaces(newPlaces(opts.Settings, opts.Logger, opts.Metrics))
 	r.useLimits(newLimits(opts.Settings.VM, opts.Logger, opts.Metrics))
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -51,6 +51,7 @@
 		var ctx context.Context
 		ctx, cancel = context.WithDeadline(req.Context(), x.deadline)
 		defer cancel()
+		defer context.AfterFunc(r.drain.requestsEnd, cancel)()
 		err = x.admit(ctx)
 		if err == nil {
 			err = x.run(ctx)
