A stopping router refuses at once what it can't finish

What callers saw: a request that was sent after SIGTERM and may last for longer than the router still runs was taken, ran for up to 5 s and was cut off with the stop. Another router could have served it.

From the request to stop on, a request is taken only if its deadline lies before the moment at which requests in flight are ended, or if the longest recent request of its route, with a quarter more, ends before it. Others are refused with 503 before they are read or run, with 50 to 100 ms to come back: the caller's next connection goes to another router.

--- a/direct/drain.go
+++ b/direct/drain.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,9 @@
 	// when the connections that are left are closed.
 	inFlight atomic.Int64
 	cutOff   atomic.Bool
+
+	mu        sync.Mutex
+	durations shutdown.Durations
 }
 
 func newDrainState() *drainState {
@@ -56,6 +60,19 @@
 	return shutdown.NewTimetable(asked, grace, balancerDelay, settleTimeout+grantReturnTime+processExitTime)
 }
 
+// recordDuration records how long a request on a route took.
+func (d *drainState) recordDuration(route string, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.durations.Record(time.Now(), route, took)
+}
+
+func (d *drainState) longestDuration(route string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.durations.Longest(time.Now(), route)
+}
+
 // hasEnded reports whether the requests in flight were ended because the process stops.
 func (d *drainState) hasEnded() bool { return d.requestsEnd.Err() != nil }
 
@@ -63,6 +80,22 @@
 // The caller's next connection goes to another router.
 func stoppingRetryAfter() time.Duration { return minShedRetryAfter + rand.N(minShedRetryAfter) }
 
+// checkStopping refuses a request that isn't expected to end before the router stops. Its error
+// is a *refusal.Error.
+func (x *exchange) checkStopping() error {
+	drain := x.router.drain
+	timetable := drain.timetable.Load()
+	if timetable == nil {
+		return nil
+	}
+	longest := drain.longestDuration(x.route.Name)
+	if timetable.Takes(time.Now(), x.deadline, longest) {
+		return nil
+	}
+	return refusal.NotRun(refusal.CauseStopping, "the router stops in %s, requests of the route take up to %s",
+		time.Until(timetable.EndRequests).Round(time.Millisecond), longest.Round(time.Millisecond)).WithRetryAfter(stoppingRetryAfter())
+}
+
 // stoppedRefusal returns the refusal of a request that the router ended because it stops.
 func (x *exchange) stoppedRefusal(notRun bool) *refusal.Error {
 	if notRun {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -94,6 +94,9 @@
 	x.rank = x.config.rank(x.workspace, route)
 	x.progress = newProgress(route)
 	x.deadline = x.started.Add(x.timeout())
+	if err := x.checkStopping(); err != nil {
+		return err
+	}
 	expected := x.router.bodies.expectedSize(x.service)
 	if x.route.Streaming {
 		// Only incomplete events of a stream are held.
@@ -243,6 +246,9 @@
 // refusal, or nil if the request was answered.
 func (x *exchange) recordResult(err error) {
 	elapsed := time.Since(x.started)
+	if x.lastAttempt != nil && !x.callerDisconnected() {
+		x.router.drain.recordDuration(x.route.Name, elapsed)
+	}
 	x.router.metrics.observe(x, err, elapsed)
 	fields := []any{
 		"request", x.meta.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
