Draining router: take on no accounts

A router that drains and learns that others are leaving counted itself as a member of the fleet that stays, and would take over their accounts: after a second without a change it opened a grant, seconds before it had to return all of them.

Its fleet now never counts as settled while it drains, so that its accounts stay as they were. Whom it asks for credit still follows the fleet.

Seen to fail before: took on an account while draining: {Workspace:coffee Budget:100000 Amount:5272 Spent:0 Reserved:0 Ungranted:60637 ...}

--- a/direct/lender_test.go
+++ b/direct/lender_test.go
@@ -385,3 +385,19 @@
 		return reserved == 0 && spent == used
 	})
 }
+
+// Routers that stop in turn learn of each other's leaving while they drain.
+func TestProofADrainingRouterTakesOnNoAccounts(t *testing.T) {
+	f := newCreditFleet(t)
+	_, other := f.split()
+	other.draining.Store(true)
+	for vm, r := range f.routers {
+		if vm != other.id.VM {
+			other.peers.markLeaving(r.id)
+		}
+	}
+	time.Sleep(fleetSettleTime + 4*assignInterval)
+	if v := other.account(); v.Amount > 0 || other.credit.Holds("coffee") {
+		t.Errorf("took on an account while draining: %+v", v)
+	}
+}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -184,10 +184,14 @@
 	p.fleet, p.fleetChangedAt = prepaid.NewFleet(members), time.Now()
 }
 
-// currentFleet returns the routers that hold credit and the time since they changed.
+// currentFleet returns the routers that hold credit and the time since they changed. That is 0
+// at a router that is draining: it gives its accounts back soon, and takes on no others.
 func (p *peers) currentFleet() (fleet *prepaid.Fleet, unchangedFor time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.draining() {
+		return p.fleet, 0
+	}
 	return p.fleet, time.Since(p.fleetChangedAt)
 }
 
