Draining router: follow endpoints and configuration to the end

The context that SIGTERM ends was also that of the feeds. A draining router takes requests for 2.5 s more and sends them, and repeats of those before, for up to 7 s. It did so by the endpoints, the routes and the keys of the moment of the SIGTERM. What callers and endpoints saw, with bounds of 2 s and changes 0.2 s after the SIGTERM (a real process, stand-ins of the store and endpoints):

a request by the route that was added got status 503, want 200 a request with the key that was taken away got status 200, want 401 the endpoint that left got a request 4.003189049s later, want at most 2s

Then they do more harm: once the last reading is 2 s old, no request is sent or repeated any more, though the store can be read. 503 for the added route is their work too (unconfirmed configuration), instead of 404.

The feeds now end when the router has stopped.

--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -91,7 +91,10 @@
 		"incarnation", incarnation, "version", daemon.Version)
 	go validateOnHangup(logger)
 	delays := platform.Delays{Config: set.Router.MaxConfigDelay, Leaving: set.Router.MaxLeavingDelay}
-	go platform.Follow(ctx, store, router, delays, logger)
+	// A draining router still sends requests, by the list and the configuration of that time.
+	feedCtx, stopFeeds := context.WithCancel(context.Background())
+	defer stopFeeds()
+	go platform.Follow(feedCtx, store, router, delays, logger)
 	operators := settings.OperatorListener{TokenHash: os.Getenv(operatorTokenHashEnv)}
 	server := ops.NewTokenless(operators, router, metrics, logger)
 	listen := net.JoinHostPort(set.Router.IP, strconv.Itoa(port))
