Signals are caught before the settings are read

What operators saw: a SIGHUP that came while a router started, before its settings were read, killed it; a SIGTERM there ended it by the signal instead of in order, and one that came as it ended could do the same.

Cause: main installed the handlers in run, after the flags and the settings, that of SIGHUP in a goroutine, and gave SIGTERM its default action back before the last lines of the log were written.

Now main catches both before anything else, and until it exits. A router that was stopped before it serves opens no listener.

What remains: the time from exec to main, in which the runtime and the packages start.

--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -41,6 +41,10 @@
 )
 
 func main() {
+	// First of all, as a signal that isn't caught ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	port, check := defaultOperatorsPort, false
 	flaggy.SetName(name)
 	flaggy.SetDescription("Routes callers' requests to endpoints that register themselves.")
@@ -52,9 +56,10 @@
 	output := daemon.NewAsyncWriter(os.Stdout)
 	logger := slog.New(slog.NewJSONHandler(output, nil))
 	slog.SetDefault(logger)
-	start := func(set platform.Settings, logger *slog.Logger) error { return run(set, port, logger) }
+	start := func(set platform.Settings, logger *slog.Logger) error { return run(ctx, hangups, set, port, logger) }
 	code := daemon.Execute(name, check, loadSettings, start, logger)
 	output.Close()
+	stop()
 	os.Exit(code)
 }
 
@@ -73,10 +78,13 @@
 	return set, err
 }
 
-func run(set platform.Settings, port int, logger *slog.Logger) error {
+// run serves until ctx ends. hangups gets the SIGHUPs.
+func run(ctx context.Context, hangups <-chan os.Signal, set platform.Settings, port int, logger *slog.Logger) error {
+	if ctx.Err() != nil {
+		logger.Info("stopped before it served")
+		return nil
+	}
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(set.Router.MemoryBytes)))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	metrics := ops.NewMetrics(name, set.Router.VM)
 	defer func() { _ = metrics.Close() }()
 	store := platform.NewStore(set.StoreAddress, logger, metrics.Scope)
@@ -89,7 +97,7 @@
 	store.MeasureLateness(router.LostTime)
 	logger.Info("started", "vm", set.Router.VM, "failure_domain", set.Router.FailureDomain,
 		"incarnation", incarnation, "version", daemon.Version)
-	go validateOnHangup(logger)
+	go validateOnHangup(hangups, logger)
 	delays := platform.Delays{Config: set.Router.MaxConfigDelay, Leaving: set.Router.MaxLeavingDelay}
 	// A draining router still sends requests, by the list and the configuration of that time.
 	feedCtx, stopFeeds := context.WithCancel(context.Background())
@@ -106,10 +114,8 @@
 // validateOnHangup validates the settings on each SIGHUP and logs the result. It
 // applies nothing: the settings that the router uses, its addresses, VM and
 // failure domain, are fixed for the life of the process.
-func validateOnHangup(logger *slog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+func validateOnHangup(hangups <-chan os.Signal, logger *slog.Logger) {
+	for range hangups {
 		if _, err := platform.LoadSettings(); err != nil {
 			logger.Error("changed settings are invalid; the process keeps the settings it started with", "error", err.Error())
 			continue
