A caller that seems to have left gets the refusal, not an empty success

What callers saw: one that closes its sending side after the request, and waits, got "200 OK" with an empty body and without the endpoint's stamp, for each kind of request, a millisecond later, while an endpoint had begun to work. Such a caller takes the request for done.

Cause: net/http takes the end of what a caller sends for its leaving and cancels the request. writeRefusal then returned without a status, which net/http turns into a 200. Whether a caller closed its connection or only its sending side can't be told until something is sent to it.

The refusal is now written in any case. A caller that has left doesn't read it, one that waits learns what is true: 502 if the request may have run, 503 if not. The endpoint is told at once as before, so that callers that leave cost nothing more.

What remains: such a caller doesn't get the endpoint's answer.

--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -52,9 +52,7 @@
 		// response for a complete one.
 		panic(http.ErrAbortHandler)
 	}
-	if x.callerDisconnected() {
-		return
-	}
+	// Also for a caller that seems to have left: it may have closed only its sending side.
 	status := refusalStatus(r)
 	header := x.writer.Header()
 	x.router.opts.Protocol.SetRefusalHeaders(header, x.meta.ID)
