The log line of an attempt no longer reads a connection that was given back

A data race: endConn gives a kept connection back, another request takes it and writes how long it was idle, and the log line of the first attempt then read that field. Nothing but the logged "connection_idled_ms" could be wrong.

The attempt now keeps the time itself.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -116,6 +116,8 @@
 	conn    *endpointConn
 	request *sentRequest
 	foreign bool
+	// connIdled is how long the connection was idle before, 0 for a new one.
+	connIdled time.Duration
 	// listRead is when the table service made the last response of the list by which the endpoint
 	// was chosen.
 	listRead time.Time
@@ -192,6 +194,7 @@
 				return nil, false, err
 			}
 		}
+		a.connIdled = a.conn.idled
 		a.request = &sentRequest{beforeSend: func() error { return x.checkBeforeSend(a) }}
 		a.conn.counted.request.Store(a.request)
 		a.conn.counted.reader.Store(a.timer)
@@ -202,7 +205,7 @@
 		}
 		pool.unanswered(a.conn)
 		_ = a.conn.Close()
-		a.conn = nil
+		a.conn, a.connIdled = nil, 0
 		if req.Body != nil {
 			req.Body = io.NopCloser(bytes.NewReader(x.body))
 		}
@@ -231,14 +234,6 @@
 	}
 }
 
-// connIdled returns how long the connection of the attempt was idle before, 0 for a new one.
-func (a *attempt) connIdled() time.Duration {
-	if a.conn == nil {
-		return 0
-	}
-	return a.conn.idled
-}
-
 // breakOff records that the response couldn't be read to its end. This counts as a crash of
 // the endpoint, unless the response was too slow.
 func (a *attempt) breakOff(err error) {
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -265,7 +265,7 @@
 		"reported", a.choice.OtherLoad, "reported_age_ms", a.choice.OtherLoadAge.Milliseconds(),
 		"expected_ms", a.choice.Expected.Milliseconds(), "first_token_ms", a.firstToken.Milliseconds(),
 		"pace", a.choice.Pace, "slowdown", a.choice.Slowdown, "slowdown_age_ms", a.choice.SlowdownAge.Milliseconds(),
-		"candidates", a.choice.Candidates, "connection_idled_ms", a.connIdled().Milliseconds(), "error", errorText(a.err))
+		"candidates", a.choice.Candidates, "connection_idled_ms", a.connIdled.Milliseconds(), "error", errorText(a.err))
 }
 
 // callerDisconnected reports whether the caller closed its connection.
