--- a/direct/callerconns.go
+++ b/direct/callerconns.go
@@ -57,6 +57,8 @@
 		return
 	}
 	switch state {
+	case http.StateNew:
+		// It waits since it was accepted.
 	case http.StateActive:
 		c.setBusy()
 	case http.StateIdle:
