direct: an unframed response of a killed endpoint isn't complete

Callers saw: a stream that ends after its third of six events and looks complete; so does a plain body.

Cause: a response with neither a length nor chunks ends with its connection. A kernel closes the connections of a killed process with a FIN if nothing is unread, as the process itself does after its last byte; the router took both for the end.

Evidence, real processes that get SIGKILL, on:

--- FAIL: TestProofAnUnframedResponseOfAKilledEndpointIsNotComplete (0.94s) /stream/a, killed after event 3: complete: true, status 200, body "id: 1 ... id: 3 ..." /resumed/a, killed after event 3: complete: true, status 200, body "id: 1 ... id: 3 ..." /book/a, killed after event 3: complete: true, ... /read/a, killed after event 3: complete: true, ... (and three cases of a kill right after the last event, whose end isn't known either)

Why the fix works: the kernel also closes the listener of the process. After an unframed end the router connects to the endpoint; if that is refused, the response isn't complete: a resumable stream goes on after its last event, a request that may be repeated runs again, others end as broken. An endpoint that leaves closes its listener before its last responses end: for one that said so or is no longer listed as usable a refusal is no sign, but a resumable stream still goes on elsewhere. A stream that goes on after its last event may be empty.

What was ruled out: the number of tokens.

A complete unframed response ends up to 50 ms later and costs one connection, two if the first is reset.

Not told apart: an endpoint behind a proxy that still takes connections, and a process whose listener is taken over at once.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -89,7 +89,7 @@
 	body []byte
 	// stream is the open response body of a stream.
 	stream io.ReadCloser
-	// unframed is set if the stream has neither a length nor chunks, and ends with its
+	// unframed is set if the response has neither a length nor chunks, and ends with its
 	// connection.
 	unframed bool
 	// crashed is set when the attempt counts as a crash of the endpoint: the request
@@ -311,10 +311,10 @@
 		a.outcome, a.err = outcomeBroken, errors.WithStack(&ResponseError{Problem: problem})
 		return
 	}
-	a.outcome, a.headersAt = outcomeAnswered, time.Now()
+	a.outcome, a.headersAt, a.unframed = outcomeAnswered, time.Now(), isUnframed(resp)
 	if x.route.Streaming && a.status == http.StatusOK {
 		a.timer.expect(partEvent)
-		a.stream, a.unframed = resp.Body, resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		a.stream = resp.Body
 		return
 	}
 	a.timer.expect(partBody)
@@ -348,9 +348,15 @@
 	var noMemory *MemoryError
 	switch {
 	case err == nil:
-		a.body = data
-		x.router.bodies.recordSize(x.service, int64(len(data)))
-		return
+		if a.unframed {
+			err = x.unframedEnd(a)
+		}
+		if err == nil {
+			a.body = data
+			x.router.bodies.recordSize(x.service, int64(len(data)))
+			return
+		}
+		a.breakOff(errors.WithStack(err))
 	case errors.As(err, &noMemory):
 		a.outcome, a.err, a.final, a.blameless = outcomeBroken, err, true, true
 	case errors.Is(err, errBodyTooLarge):
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -92,7 +92,7 @@
 	if source.flushErr != nil && a.err == nil {
 		a.outcome, a.err = outcomeBroken, source.flushErr
 	}
-	if err := a.streamEnd(scanner.Err()); err != nil && a.err == nil {
+	if err := x.streamEnd(a, scanner.Err()); err != nil && a.err == nil {
 		a.breakOff(errors.WithStack(&ResponseError{Problem: "failed to read the stream", Cause: err}))
 		// A stream that was silent for so long has no reader any more.
 		a.final = a.timer.overdue() != nil
@@ -111,13 +111,17 @@
 	}
 }
 
-// streamEnd returns why a stream that ended isn't complete, nil if it is. Without a length and
-// chunks, an endpoint that ended before the first data can't be told from one that had none.
-func (a *attempt) streamEnd(err error) error {
-	if err == nil && a.unframed && !a.answerBegun {
+// streamEnd returns why a stream that ended isn't complete, nil if it is. Only a stream that goes
+// on after an event may have no data.
+func (x *exchange) streamEnd(a *attempt, err error) error {
+	switch {
+	case err != nil || a.err != nil || !a.unframed:
+		return err
+	case !a.answerBegun && x.lastEventID == "":
 		return &ResponseError{Problem: "the stream ended before its first data"}
+	default:
+		return x.unframedEnd(a)
 	}
-	return err
 }
 
 // forwardEvent writes one event to the caller, unless it was delivered before.
--- /dev/null
+++ b/direct/streamorder_test.go
@@ -0,0 +1,116 @@
+package direct
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"jackdawswitch/catalog"
+)
+
+const (
+	// endpointProcessVariable makes the test binary an endpoint; see TestEndpointProcess.
+	endpointProcessVariable = "JACKDAW_TEST_ENDPOINT"
+	// endpointProcessEvents is the number of events of its streams.
+	endpointProcessEvents = 6
+)
+
+// TestEndpointProcess is the endpoint of other tests, in a process of its own. Its responses are
+// unframed, and it kills itself after an event that the request names.
+func TestEndpointProcess(t *testing.T) {
+	if os.Getenv(endpointProcessVariable) == "" {
+		t.Skip("runs as the process of another test")
+	}
+	listener := listenOnLoopback(t)
+	fmt.Println("address", listener.Addr())
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go serveUnframed(conn)
+	}
+}
+
+func serveUnframed(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(conn, startOf("200 OK", "T-Signed: e\r\nConnection: close\r\nT-Leaving: "+r.Header.Get("T-Leaves")+"\r\n"))
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for id := last + 1; id <= endpointProcessEvents; id++ {
+		_, _ = io.WriteString(conn, testEvent(id))
+		if strconv.Itoa(id) == r.Header.Get("T-Break") {
+			_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+			select {}
+		}
+	}
+}
+
+// startEndpointProcess starts an endpoint in a process of its own.
+func startEndpointProcess(t *testing.T, id string) catalog.Endpoint {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], "-test.run=^TestEndpointProcess$")
+	cmd.Env = append(os.Environ(), endpointProcessVariable+"=1")
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	for lines := bufio.NewScanner(out); lines.Scan(); {
+		if address, ok := strings.CutPrefix(lines.Text(), "address "); ok {
+			return catalog.Endpoint{ID: id, Service: "s", Address: address}
+		}
+	}
+	t.Fatal("the endpoint process named no address")
+	return catalog.Endpoint{}
+}
+
+// The kernel closes the connections of a killed process as the process would.
+func TestProofAnUnframedResponseOfAKilledEndpointIsNotComplete(t *testing.T) {
+	whole := ""
+	for id := 1; id <= endpointProcessEvents; id++ {
+		whole += testEvent(id)
+	}
+	for path, wholeAfterKill := range map[string]bool{"/stream/a": false, "/resumed/a": true, "/book/a": false, "/read/a": false} {
+		for _, killAfter := range []string{"0", "3", "6"} {
+			g := newTestRouter(t, 0, nil)
+			g.router.ReplaceEndpoints([]catalog.Endpoint{startEndpointProcess(t, "e0"), startEndpointProcess(t, "e1")})
+			got := g.send(http.MethodPost, path, "x", "T-Break", killAfter)
+			isWhole := got.status == http.StatusOK && got.complete && got.body == whole
+			claimsWhole := got.status == http.StatusOK && got.complete
+			if want := killAfter == "0" || wholeAfterKill; claimsWhole != want || isWhole != want {
+				t.Errorf("%s, killed after event %s: complete: %v, status %d, body %q", path, killAfter, got.complete, got.status, got.body)
+			}
+		}
+	}
+}
+
+// An endpoint that leaves may close its listener before its last responses end.
+func TestAnUnframedResponseOfALeavingEndpointIsComplete(t *testing.T) {
+	for _, path := range []string{"/stream/a", "/resumed/a", "/book/a", "/read/a"} {
+		g := newTestRouter(t, 0, nil)
+		g.router.ReplaceEndpoints([]catalog.Endpoint{startEndpointProcess(t, "e0"), startEndpointProcess(t, "e1")})
+		got := g.send(http.MethodPost, path, "x", "T-Break", strconv.Itoa(endpointProcessEvents), "T-Leaves", "1")
+		if got.status != http.StatusOK || !got.complete || !strings.HasSuffix(got.body, testEvent(endpointProcessEvents)) {
+			t.Errorf("%s: complete: %v, status %d, body %q", path, got.complete, got.status, got.body)
+		}
+	}
+}
