Only answered requests tell how long those of a route take

A request that its deadline ended counted as one of that duration, so that a stopping router took a longer one of the same route. Found by TestProofAStoppingRouterRefusesAtOnceWhatItCanNotFinish, which failed when its case with a deadline of 200 ms ran before the one that must be refused (504 instead of 503, three runs instead of two); the order is random.

--- a/direct/drain.go
+++ b/direct/drain.go
@@ -60,7 +60,8 @@
 	return shutdown.NewTimetable(asked, grace, balancerDelay, settleTimeout+grantReturnTime+processExitTime)
 }
 
-// recordDuration records how long a request on a route took.
+// recordDuration records how long a request on a route took. Those that are ended by their deadline
+// don't count: it isn't known how long they would take.
 func (d *drainState) recordDuration(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -120,14 +121,17 @@
 // drainCallers ends the service of callers. The router reports itself unready, and closes the
 // listener once the load balancer must have noticed. Connections are closed by a response that
 // says so, or once their callers don't use them any more. Near the end of the shutdown grace,
-// the requests still in flight are ended with a response.
-func (r *Router) drainCallers(callerServer *http.Server, listener *callerListener) {
+// the requests still in flight are ended with a response. served is closed when the server has
+// ended to accept connections.
+func (r *Router) drainCallers(callerServer *http.Server, listener *callerListener, served <-chan struct{}) {
 	timetable := newTimetable(time.Now(), r.opts.Settings.ShutdownGrace)
 	r.drain.timetable.Store(&timetable)
 	r.draining.Store(true)
 	r.logger.Info("draining", "grace", r.opts.Settings.ShutdownGrace.String(), "in_flight", r.drain.inFlight.Load())
 	time.Sleep(time.Until(timetable.CloseListener))
-	_ = listener.Close()
+	listener.closeEmpty()
+	// The connections accepted last are then known to the server.
+	<-served
 	closed, left, busy := r.awaitCallers(listener, timetable.EndRequests, func(left, _ int) bool { return left == 0 })
 	if left > 0 {
 		r.logger.Warn("requests in flight ended near the end of the shutdown grace", "requests", busy, "connections", left)
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -246,7 +246,7 @@
 // refusal, or nil if the request was answered.
 func (x *exchange) recordResult(err error) {
 	elapsed := time.Since(x.started)
-	if x.lastAttempt != nil && !x.callerDisconnected() {
+	if err == nil {
 		x.router.drain.recordDuration(x.route.Name, elapsed)
 	}
 	x.router.metrics.observe(x, err, elapsed)
