A stopping router resets nothing that the kernel holds unread

Cause: the kernel opens connections and takes bytes that the process hasn't accepted or read; closing the listener or the connection resets them.

--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -1,8 +1,10 @@
 package direct
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -281,3 +283,112 @@
 		t.Error("read from a closed connection")
 	}
 }
+
+// rawCaller is one connection of a caller.
+type rawCaller struct {
+	net.Conn
+	responses *bufio.Reader
+}
+
+func (g *runningRouter) dial() *rawCaller {
+	conn := dialCaller(g.t, g.address)
+	return &rawCaller{Conn: conn, responses: bufio.NewReader(conn)}
+}
+
+// rawRequest is a request as sent on a connection.
+func rawRequest(path, id string) string {
+	return fmt.Sprintf("GET %s HTTP/1.1\r\nHost: h.example\r\nT-Id: %s\r\nT-Key: %s\r\nT-Deadline: 1000\r\n\r\n", path, id, testKey)
+}
+
+// write writes a part of a request.
+func (c *rawCaller) write(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Errorf("%q could not be sent: %v", text, err)
+	}
+}
+
+// read returns the next response, nil if there is none, and whether its body is complete.
+func (c *rawCaller) read(t *testing.T) (resp *http.Response, complete bool) {
+	t.Helper()
+	resp, err := http.ReadResponse(c.responses, nil)
+	if err != nil {
+		t.Logf("no response: %v", err)
+		return nil, false
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err == nil
+}
+
+// TestProofARequestReadInPartWhenTheListenerClosesIsAnswered guards against a request that is dropped
+// as it is read while the listener closes.
+func TestProofARequestReadInPartWhenTheListenerClosesIsAnswered(t *testing.T) {
+	t.Parallel()
+	g := runRouter(t, 8*time.Second, func(http.ResponseWriter, *http.Request) {})
+	head := rawRequest("/read/a", "r2")
+	kept, fresh, body := g.dial(), g.dial(), g.dial()
+	kept.write(t, rawRequest("/read/a", "r1"))
+	if resp, _ := kept.read(t); resp == nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("unexpected response: %+v", resp)
+	}
+	g.stop()
+	time.Sleep(balancerDelay - 200*time.Millisecond)
+	kept.write(t, head[:20])
+	fresh.write(t, head[:20])
+	body.write(t, "POST /book/a HTTP/1.1\r\nHost: h.example\r\nT-Id: r2\r\nT-Key: "+testKey+"\r\nT-Deadline: 1000\r\nContent-Length: 4\r\n\r\nbo")
+	time.Sleep(600 * time.Millisecond)
+	kept.write(t, head[20:])
+	fresh.write(t, head[20:])
+	body.write(t, "dy")
+	for name, caller := range map[string]*rawCaller{"kept": kept, "fresh": fresh, "body": body} {
+		if resp, complete := caller.read(t); resp == nil || resp.StatusCode != http.StatusOK || !complete {
+			t.Errorf("%s connection: response %+v, complete %v; want a whole 200", name, resp, complete)
+		}
+	}
+}
+
+// TestAListenerIsClosedOnceAllItsConnectionsAreAccepted guards against a reset of connections that a
+// process without processor time has not accepted.
+func TestAListenerIsClosedOnceAllItsConnectionsAreAccepted(t *testing.T) {
+	l := (&traffic{}).listen(listenOnLoopback(t))
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		l.closeEmpty()
+	}()
+	select {
+	case <-closed:
+		t.Fatal("closed before the connection was accepted")
+	case <-time.After(maxAcceptDelay / 5):
+	}
+	if _, err := l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	<-closed
+	if _, err := l.Accept(); err == nil {
+		t.Error("accepts after the close")
+	}
+}
+
+func TestAnUnreadRequestIsNotCutOffAsUnused(t *testing.T) {
+	listener := listenOnLoopback(t)
+	caller := dialCaller(t, listener.Addr().String())
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &callerConn{countedConn: countedConn{Conn: accepted, traffic: &traffic{}}, waitingSince: time.Now()}
+	_, _ = io.WriteString(caller, "G")
+	eventually(t, "the bytes arrive", func() bool { return hasUnread(accepted) })
+	if _, unused := c.closeIfUnused(time.Now().Add(time.Minute)); unused {
+		t.Error("closed with an unread request")
+	}
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+}
--- a/direct/router.go
+++ b/direct/router.go
@@ -198,7 +198,11 @@
 	}
 	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 2)
-	go func() { failed <- callerServer.Serve(callers) }()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		failed <- callerServer.Serve(callers)
+	}()
 	go func() { failed <- readinessServer.Serve(readinessListener) }()
 	taskCtx, stopTasks := context.WithCancel(context.Background())
 	var tasks sync.WaitGroup
@@ -214,7 +218,7 @@
 	case err = <-failed:
 		r.logger.Error("HTTP listener failed, stopping", "error", err.Error())
 	case <-ctx.Done():
-		r.drainCallers(callerServer, callers)
+		r.drainCallers(callerServer, callers, served)
 		r.awaitLentCredit()
 	}
 	r.fleetCredit.close()
