Endpoint connections: leave those that fell silent

When open connections fall silent for good while new ones work, a request on a kept connection got 504 at its deadline, of whatever kind, and nothing was learned from it: the pool went on handing out the other silent connections, up to four to each endpoint and router, one caller each, until they were 7.5 s idle. A request under way got 504 as well. So did requests to an endpoint whose VM had lost power, on connections that were kept.

That an endpoint is silent is no proof: it may work for long. That its kernel acknowledges nothing is. If a response hasn't begun after 0.4 s, the router asks its kernel (TCP_INFO) whether bytes are unacknowledged and no packet came for 0.4 s and four round trips. A request that was acknowledged has its connection probed (keep-alive) after 1.2 s; it counts as silent after 2.9 s without a packet, and three probes. Then - idle connections, to any endpoint, that brought nothing since the request was sent are closed; - a request that may run again is sent again within its attempts and the retry budget, at another endpoint, or at this one if there is no other. Neither a crash nor a failure of the endpoint is recorded; - a request that may run once waits on: it may have arrived, and its connection may come back. It ends in 504 as before.

TCP_USER_TIMEOUT would do it without a look at the kernel, but it also ends a connection whose endpoint reads a large body late (its window is closed, its kernel acknowledges), and it can't tell requests that may run again from others.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -124,6 +124,9 @@
 	// overtaken is set if nothing was sent because the endpoint wants no requests any more, or may
 	// have left.
 	overtaken atomic.Pointer[OvertakenError]
+	// leftSilent is set if the attempt was ended because its connection is silent. The retry for
+	// it is taken.
+	leftSilent atomic.Bool
 	// final is set when another attempt would be of no use. blameless is set when the
 	// failure is this router's.
 	final, blameless bool
@@ -198,7 +201,9 @@
 		a.request = &sentRequest{beforeSend: func() error { return x.checkBeforeSend(a) }}
 		a.conn.counted.request.Store(a.request)
 		a.conn.counted.reader.Store(a.timer)
+		watch := x.watchSilence(a)
 		resp, err = a.conn.RoundTrip(req)
+		watch.stop()
 		sent = a.request.sending.Load()
 		if err == nil || sent || !a.conn.reused() || a.overtaken.Load() != nil || a.timer.ctx.Err() != nil {
 			return resp, sent, err
@@ -225,7 +230,7 @@
 		return
 	case a.outcome == outcomeBroken && a.foreign:
 		pool.distrust(a.conn)
-	case a.outcome == outcomeBroken && !a.request.answered.Load():
+	case a.outcome == outcomeBroken && !a.request.answered.Load() && !a.leftSilent.Load():
 		pool.unanswered(a.conn)
 	}
 	_ = a.conn.Close()
@@ -241,6 +246,10 @@
 	if overdue := a.timer.overdue(); overdue != nil {
 		a.err, a.crashed = errors.WithStack(overdue), false
 	}
+	if a.leftSilent.Load() {
+		// The endpoint isn't to blame; that it can't be reached, a new connection shows.
+		a.err, a.crashed, a.blameless = errors.WithStack(context.Cause(a.timer.ctx)), false, true
+	}
 }
 
 // cancelled records that the caller disconnected or the deadline passed.
--- a/direct/connpool.go
+++ b/direct/connpool.go
@@ -25,8 +25,9 @@
 	transport *http.Transport
 	logger    *slog.Logger
 	// opened and reused count the connections that requests got. lost are those that ended
-	// while they were idle, lostInUse those on which a request got no response.
-	opened, reused, lost, lostInUse tally.Counter
+	// while they were idle, lostInUse those on which a request got no response, and silenced those
+	// that fell silent.
+	opened, reused, lost, lostInUse, silenced tally.Counter
 
 	mu      sync.Mutex
 	tracker *keepalive.Tracker
@@ -58,6 +59,7 @@
 		transport: transport, logger: logger, tracker: keepalive.NewTracker(), idle: make(map[keepalive.Process][]*endpointConn),
 		opened: metrics.Counter("endpoint_connections_opened"), reused: metrics.Counter("endpoint_connections_reused"),
 		lost: metrics.Counter("endpoint_connections_lost_idle"), lostInUse: metrics.Counter("endpoint_connections_lost_in_use"),
+		silenced: metrics.Counter("endpoint_connections_silent"),
 	}
 }
 
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -52,7 +52,9 @@
 	// those for which it confirmed that it did not run the request.
 	deliveredAttempts int
 	// excluded are the IDs of the endpoints at which an attempt has failed.
-	excluded    []string
+	excluded []string
+	// leftSilent are those of them whose connection fell silent.
+	leftSilent  []string
 	lastAttempt *attempt
 	// quarantined is set when the request has crashed too many endpoints.
 	quarantined bool
@@ -96,6 +98,9 @@
 			return x.giveUpBeforeSending(refusal.FromError(err))
 		}
 		choice, err := x.router.pick(x.pickerQuery())
+		if err != nil && x.includeSilent() {
+			choice, err = x.router.pick(x.pickerQuery())
+		}
 		if err != nil {
 			return x.giveUpBeforeSending(x.router.addPauseEnd(refusal.FromError(err), x.service))
 		}
@@ -152,6 +157,9 @@
 		x.progress.step(eventBroken)
 	}
 	x.excluded = append(x.excluded, a.choice.Endpoint.ID)
+	if a.leftSilent.Load() {
+		x.leftSilent = append(x.leftSilent, a.choice.Endpoint.ID)
+	}
 	if ctx.Err() != nil {
 		return true, x.giveUp(x.failureRefusal())
 	}
@@ -178,7 +186,7 @@
 	if x.deliveredAttempts >= x.maxDeliveredAttempts() {
 		return false
 	}
-	return x.router.retries.takeRetry(x.service)
+	return a.leftSilent.Load() || x.router.retries.takeRetry(x.service)
 }
 
 // maxDeliveredAttempts returns the number of attempts that may reach an endpoint.
--- /dev/null
+++ b/direct/silence.go
@@ -0,0 +1,189 @@
+package direct
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// unackedTime is how long sent bytes are unacknowledged, and nothing else arrives, from which
+	// a connection counts as silent: over two retransmissions on a link within a region. To it
+	// comes a multiple of the connection's round trip.
+	unackedTime       = 400 * time.Millisecond
+	unackedRoundTrips = 4
+
+	// A request that was acknowledged may be at work for long. After probeDelay without a byte the
+	// connection is probed every probeInterval, and counts as silent if nothing arrives for
+	// unprobedTime: three probes.
+	probeDelay    = 1200 * time.Millisecond
+	probeInterval = time.Second
+	unprobedTime  = 2900 * time.Millisecond
+	// probeCount is the number of unanswered probes after which the kernel ends the connection,
+	// which is beyond the deadlines of requests.
+	probeCount = 100
+
+	// recheckInterval is the time between two looks at a connection with unacknowledged bytes.
+	recheckInterval = 100 * time.Millisecond
+)
+
+// SilentError reports that a connection fell silent: what is sent on it is not acknowledged.
+type SilentError struct{ For time.Duration }
+
+// Error implements error.
+func (e *SilentError) Error() string {
+	return "the connection fell silent: no acknowledgement for " + e.For.Round(time.Millisecond).String()
+}
+
+// linkState is what the kernel knows of a connection.
+type linkState struct {
+	// unacked is set if sent bytes are not acknowledged.
+	unacked bool
+	// heard is the time since a packet arrived, roundTrip the estimate of the round trip.
+	heard, roundTrip time.Duration
+}
+
+// readLinkState returns the state of a connection, and false if it isn't known.
+func readLinkState(conn net.Conn) (linkState, bool) {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return linkState{}, false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return linkState{}, false
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if controlErr != nil || err != nil {
+		return linkState{}, false
+	}
+	return linkState{
+		unacked:   info.Unacked > 0,
+		heard:     time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond,
+		roundTrip: time.Duration(info.Rtt) * time.Microsecond,
+	}, true
+}
+
+// silenceWatch looks at the connection of an attempt until its response begins. An endpoint may be
+// silent for long while it works, so only what the kernel of its VM doesn't acknowledge tells that
+// the connection is silent.
+//
+// It answers connections that fall silent for good, all in one moment, while new ones work: each
+// kept one would take the whole time of one more request.
+type silenceWatch struct {
+	exchange *exchange
+	attempt  *attempt
+	sentAt   time.Time
+	// mayLeave is set if the request may be sent again before its deadline.
+	mayLeave bool
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+	// probed is since when the connection is probed, zero if it isn't.
+	probed time.Time
+}
+
+// watchSilence starts to watch the connection of an attempt. The caller must call stop.
+func (x *exchange) watchSilence(a *attempt) *silenceWatch {
+	w := &silenceWatch{
+		exchange: x, attempt: a, sentAt: time.Now(),
+		mayLeave: (x.progress.repeatable || x.progress.resumable) && x.deliveredAttempts+1 < x.route.MaxEndpoints,
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(unackedTime, w.check)
+	return w
+}
+
+func (w *silenceWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// check looks at the connection and sets the time of the next look.
+func (w *silenceWatch) check() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	conn := w.attempt.conn.counted.Conn
+	state, ok := readLinkState(conn)
+	if !ok {
+		return
+	}
+	now := time.Now()
+	heard := min(state.heard, now.Sub(w.sentAt))
+	limit := unackedTime + unackedRoundTrips*state.roundTrip
+	switch {
+	case state.unacked && heard < limit:
+		w.timer.Reset(max(limit-heard, recheckInterval))
+	case state.unacked:
+		w.end(heard)
+	case !w.mayLeave:
+	case w.probed.IsZero() && now.Sub(w.sentAt) < probeDelay:
+		w.timer.Reset(probeDelay - now.Sub(w.sentAt))
+	case w.probed.IsZero():
+		w.probed = now
+		_ = conn.(*net.TCPConn).SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount})
+		w.timer.Reset(unprobedTime)
+	case heard >= unprobedTime && now.Sub(w.probed) >= unprobedTime:
+		w.end(heard)
+	default:
+		w.timer.Reset(max(unprobedTime-heard, recheckInterval))
+	}
+}
+
+// end makes other requests use no connection that may have fallen silent too, and ends the attempt
+// if the request may be sent again. Otherwise it waits on, as the connection may come back.
+func (w *silenceWatch) end(heard time.Duration) {
+	x, a := w.exchange, w.attempt
+	x.router.conns.silent(a.conn, w.sentAt)
+	w.mayLeave = w.mayLeave && x.router.retries.takeRetry(x.service)
+	x.router.logger.Info("connection to an endpoint fell silent", "request", x.meta.ID, "endpoint", a.choice.Endpoint.ID,
+		"address", a.choice.Endpoint.Address, "unheard_ms", heard.Milliseconds(), "connection_idled_ms", a.connIdled.Milliseconds(), "send_again", w.mayLeave)
+	if w.mayLeave {
+		a.leftSilent.Store(true)
+		a.timer.cancel(&SilentError{For: heard})
+	}
+}
+
+// silent closes the idle connections to all endpoints that have brought nothing since a request
+// was sent on a connection that turned out to be silent: they may have fallen silent with it.
+func (p *connPool) silent(c *endpointConn, sentAt time.Time) {
+	p.mu.Lock()
+	p.silenced.Inc(1)
+	var suspects []*endpointConn
+	for _, conns := range p.idle {
+		for _, other := range conns {
+			if other.idleSince.Before(sentAt) {
+				suspects = append(suspects, other)
+			}
+		}
+	}
+	p.mu.Unlock()
+	for _, suspect := range suspects {
+		p.closeIdle(suspect)
+	}
+	if len(suspects) > 0 {
+		p.logger.Info("idle connections to endpoints closed, as one fell silent", "endpoint", c.process.Endpoint, "closed", len(suspects))
+	}
+}
+
+// includeSilent lets the request be sent once more to endpoints whose connection fell silent, on a
+// new one. It is for when there is no other endpoint.
+func (x *exchange) includeSilent() bool {
+	if len(x.leftSilent) == 0 {
+		return false
+	}
+	x.excluded = slices.DeleteFunc(x.excluded, func(id string) bool { return slices.Contains(x.leftSilent, id) })
+	x.leftSilent = nil
+	return true
+}
--- /dev/null
+++ b/direct/silentconn_test.go
@@ -0,0 +1,261 @@
+package direct
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"jackdawswitch/catalog"
+)
+
+// silentListener accepts connections that can fall silent: their kernel drops what arrives, and
+// acknowledges none of it, while new connections work.
+type silentListener struct {
+	net.Listener
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *silentListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		l.conns = append(l.conns, conn)
+		l.mu.Unlock()
+	}
+	return conn, err
+}
+
+// silence drops all that arrives from now on on the connections that are open.
+func (l *silentListener) silence(t testing.TB) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, conn := range l.conns {
+		dropArrivals(t, conn)
+	}
+	l.conns = nil
+}
+
+// dropArrivals makes the kernel drop all packets that arrive on a connection.
+func dropArrivals(t testing.TB, conn net.Conn) {
+	t.Helper()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A filter of one instruction, which accepts no byte.
+	reject := syscall.SockFilter{Code: syscall.BPF_RET | syscall.BPF_K}
+	program := syscall.SockFprog{Len: 1, Filter: &reject}
+	var errno syscall.Errno
+	err = raw.Control(func(fd uintptr) {
+		_, _, errno = syscall.Syscall6(syscall.SYS_SETSOCKOPT, fd, syscall.SOL_SOCKET, syscall.SO_ATTACH_FILTER,
+			uintptr(unsafe.Pointer(&program)), unsafe.Sizeof(program), 0)
+	})
+	if err == nil && errno != 0 {
+		err = errno
+	}
+	if err != nil && !strings.Contains(err.Error(), "use of closed") {
+		t.Fatal(err)
+	}
+}
+
+// startSilentEndpoint starts an endpoint, which keeps its connections, and adds it to the router.
+func (g *testRouter) startSilentEndpoint(id string, handler http.HandlerFunc) *silentListener {
+	l := &silentListener{Listener: listenOnLoopback(g.t)}
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("T-Id", r.Header.Get("T-Id"))
+		w.Header().Set("T-Signed", id)
+		w.Header().Set("T-Keep", "10s")
+		handler(w, r)
+	}))
+	_ = server.Listener.Close()
+	server.Listener = l
+	server.Start()
+	g.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	g.router.PutEndpoint(catalog.Endpoint{ID: id, Service: "s", Address: l.Addr().String()})
+	return l
+}
+
+// newSilentRouter starts a router with a long timeout of its routes, and endpoints that respond by
+// handler, whose connections the router keeps.
+func newSilentRouter(t *testing.T, endpoints int, handler http.HandlerFunc) (*testRouter, []*silentListener) {
+	t.Helper()
+	g := newTestRouter(t, 0, nil)
+	cfg := testConfig()
+	cfg.Version++
+	for i := range cfg.Routes {
+		cfg.Routes[i].Timeout = 12 * time.Second
+	}
+	cfg.Limits.MaxBodyBytes = 64 << 20
+	g.router.ApplyConfig(cfg)
+	var listeners []*silentListener
+	for n := range endpoints {
+		listeners = append(listeners, g.startSilentEndpoint("e"+strconv.Itoa(n), handler))
+	}
+	return g, listeners
+}
+
+// answerByPath answers with events on the routes of streams.
+func answerByPath(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, "/stream") || strings.HasPrefix(r.URL.Path, "/resumed") {
+		writeEvents(w, 1, 3)
+		return
+	}
+	_, _ = io.WriteString(w, "done")
+}
+
+// keepConnections makes the router keep some connections to each endpoint.
+func (g *testRouter) keepConnections() {
+	var callers sync.WaitGroup
+	for range 12 {
+		callers.Go(func() { g.send(http.MethodPost, "/read/a", "x") })
+	}
+	callers.Wait()
+	eventually(g.t, "connections are kept", func() bool { return g.idleConnections() > 0 })
+}
+
+func (g *testRouter) idleConnections() int {
+	pool := g.router.conns
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	count := 0
+	for _, conns := range pool.idle {
+		count += len(conns)
+	}
+	return count
+}
+
+// Each kept connection took the whole time of one caller.
+func TestProofARequestOnASilentConnectionIsSentOnANewOne(t *testing.T) {
+	for _, endpoints := range []int{1, 3} {
+		for _, path := range []string{"/read/a", "/resumed/a"} {
+			t.Run(strconv.Itoa(endpoints)+path, func(t *testing.T) {
+				t.Parallel()
+				g, listeners := newSilentRouter(t, endpoints, func(w http.ResponseWriter, r *http.Request) {
+					time.Sleep(20 * time.Millisecond)
+					answerByPath(w, r)
+				})
+				g.keepConnections()
+				for _, l := range listeners {
+					l.silence(t)
+				}
+				for i := range 14 {
+					started := time.Now()
+					got := g.send(http.MethodPost, path, "x", "T-Deadline", "1000")
+					took := time.Since(started)
+					if got.status != http.StatusOK || !got.complete || i > 0 && took >= unackedTime {
+						t.Errorf("request %d: status %d after %v", i, got.status, took)
+					}
+				}
+			})
+		}
+	}
+}
+
+// It may have arrived, and its connection may come back.
+func TestProofARequestThatMayRunOnceWaitsOnASilentConnection(t *testing.T) {
+	g, listeners := newSilentRouter(t, 3, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		answerByPath(w, r)
+	})
+	g.keepConnections()
+	for _, l := range listeners {
+		l.silence(t)
+	}
+	started, first := time.Now(), make(chan callerResponse)
+	go func() { first <- g.send(http.MethodPost, "/book/a", "x", "T-Deadline", "1000") }()
+	for g.idleConnections() > 0 && time.Since(started) < 800*time.Millisecond {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for i := range 12 {
+		sentAt := time.Now()
+		got := g.send(http.MethodPost, "/book/a", "x", "T-Deadline", "1000")
+		if took := time.Since(sentAt); got.status != http.StatusOK || took >= unackedTime {
+			t.Errorf("request %d after that: status %d after %v, want 200 on a new connection", i, got.status, took)
+		}
+	}
+	got := <-first
+	if took := time.Since(started); got.status != http.StatusGatewayTimeout || took < 900*time.Millisecond {
+		t.Errorf("on a silent connection: status %d after %v, want 504 at the deadline", got.status, took)
+	}
+}
+
+// The request has arrived, and so has its acknowledgement.
+func TestProofARequestWhoseConnectionFallsSilentLaterIsSentAgain(t *testing.T) {
+	arrived, first := make(chan struct{}), make(chan struct{}, 1)
+	first <- struct{}{}
+	g, listeners := newSilentRouter(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-first:
+			close(arrived)
+			<-r.Context().Done()
+		default:
+			answerByPath(w, r)
+		}
+	})
+	statuses := make(chan int)
+	started := time.Now()
+	go func() { statuses <- g.send(http.MethodGet, "/read/a", "").status }()
+	<-arrived
+	time.Sleep(50 * time.Millisecond)
+	for _, l := range listeners {
+		l.silence(t)
+	}
+	if status, took := <-statuses, time.Since(started); status != http.StatusOK || took > 5*time.Second {
+		t.Errorf("status %d after %v, want 200 from another endpoint within 5 s", status, took)
+	}
+}
+
+// An endpoint works for long, or doesn't read a body for long; its kernel acknowledges.
+func TestProofASlowEndpointIsNotTakenForASilentConnection(t *testing.T) {
+	const slow = 4500 * time.Millisecond
+	var runs atomic.Int32
+	for name, body := range map[string]int{"works": 0, "reads late": 16 << 20} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g, _ := newSilentRouter(t, 0, nil)
+			for _, id := range []string{"a", "b"} {
+				g.router.PutEndpoint(rawEndpoint(t, id, func(conn net.Conn, requests *bufio.Reader) {
+					if body > 0 {
+						time.Sleep(slow)
+					}
+					requestID, ok := readRequest(requests)
+					if !ok {
+						return
+					}
+					runs.Add(1)
+					if body == 0 {
+						time.Sleep(slow)
+					}
+					answer(conn, requestID, "done")
+				}))
+			}
+			started := time.Now()
+			got := g.send(http.MethodPut, "/read/a", strings.Repeat("x", body))
+			if took := time.Since(started); got.status != http.StatusOK || took < slow {
+				t.Errorf("status %d after %v, want 200 after %v", got.status, took, slow)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		if runs.Load() != 2 {
+			t.Errorf("%d runs of 2 requests", runs.Load())
+		}
+	})
+}
