Endpoint connections: take one for silent only after unanswered probes

A kernel, or a library in its place, that answers TCP_INFO but doesn't tell when it last heard of a connection would have made each request that lasts over 4 s count as one on a silent connection. The kernel's count of unanswered probes must now show it too. A precaution: no such kernel was seen.

--- a/direct/silence.go
+++ b/direct/silence.go
@@ -22,6 +22,9 @@
 	probeDelay    = 1200 * time.Millisecond
 	probeInterval = time.Second
 	unprobedTime  = 2900 * time.Millisecond
+	// minProbes is the number of unanswered probes that show it, as a kernel that doesn't tell
+	// when it heard of a connection doesn't count them either.
+	minProbes = 2
 	// probeCount is the number of unanswered probes after which the kernel ends the connection,
 	// which is beyond the deadlines of requests.
 	probeCount = 100
@@ -44,6 +47,8 @@
 	unacked bool
 	// heard is the time since a packet arrived, roundTrip the estimate of the round trip.
 	heard, roundTrip time.Duration
+	// probes is the number of unanswered probes.
+	probes int
 }
 
 // readLinkState returns the state of a connection, and false if it isn't known.
@@ -63,6 +68,7 @@
 	}
 	return linkState{
 		unacked:   info.Unacked > 0,
+		probes:    int(info.Probes),
 		heard:     time.Duration(min(info.Last_ack_recv, info.Last_data_recv)) * time.Millisecond,
 		roundTrip: time.Duration(info.Rtt) * time.Microsecond,
 	}, true
@@ -134,7 +140,7 @@
 		w.probed = now
 		_ = conn.(*net.TCPConn).SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount})
 		w.timer.Reset(unprobedTime)
-	case heard >= unprobedTime && now.Sub(w.probed) >= unprobedTime:
+	case heard >= unprobedTime && state.probes >= minProbes:
 		w.end(heard)
 	default:
 		w.timer.Reset(max(unprobedTime-heard, recheckInterval))
