Routers: end connections to each other that fell silent

Load updates go one way on one connection to each router for as long as both run. When it fell silent, the sender wrote on and was told of nothing; its loads counted for 1.6 s more at the other router and were gone then, until the kernel gave up after a quarter of an hour. Meanwhile both sent long prompts to the same endpoints.

A connection to another router now has TCP_USER_TIMEOUT, 2 s: what is sent and not acknowledged for so long ends it, and the stream is opened again 0.5 s later. Loads are repeated every 0.5 s, so that there is always something sent. Routers with agents keep the kernel's time.

Tested with real connections whose kernel drops what arrives.

--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/integrii/flaggy"
 
@@ -34,6 +35,10 @@
 	// the machine itself gets the state dump.
 	operatorTokenHashEnv = "JACKDAWSWITCH_OPERATOR_TOKEN_HASH"
 
+	// maxUnacked is how long a connection to another router may bring no acknowledgement: some
+	// round trips and retransmissions, and not much longer than loads of other routers count.
+	maxUnacked = 2 * time.Second
+
 	// memoryLimitShare is the share of the machine's memory that the Go runtime
 	// gets as its soft memory limit. The rest covers memory that the runtime
 	// doesn't count, such as the kernel's socket buffers.
@@ -90,7 +95,7 @@
 	store := platform.NewStore(set.StoreAddress, logger, metrics.Scope)
 	incarnation := rand.Int64()
 	router := direct.New(direct.Options{
-		Settings: set.Router, Incarnation: incarnation, Network: rpc.TCP{}, Protocol: platform.Headers{},
+		Settings: set.Router, Incarnation: incarnation, Network: rpc.TCP{MaxUnacked: maxUnacked}, Protocol: platform.Headers{},
 		Table: store, TableCaller: store, Starts: platform.NewReports(), Logger: logger, Metrics: metrics.Scope,
 	})
 	store.RelayThrough(router)
--- a/direct/loads_test.go
+++ b/direct/loads_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -16,6 +17,7 @@
 	"jackdawswitch/routing"
 	"jackdawswitch/rpc"
 	"jackdawswitch/rpc/memnet"
+	"jackdawswitch/rpc/silentnet"
 	"jackdawswitch/standin"
 )
 
@@ -29,12 +31,22 @@
 func startPeerRouterIn(t *testing.T, network *memnet.Network, id prepaid.ProcessID, failureDomain string) (r *Router, stop func()) {
 	t.Helper()
 	host := network.Host(id.VM)
+	r, end := startPeerRouterOn(t, host, id, failureDomain)
+	return r, func() {
+		host.Kill()
+		end()
+	}
+}
+
+// startPeerRouterOn starts a router whose peer listener is that of a network.
+func startPeerRouterOn(t *testing.T, network rpc.Network, id prepaid.ProcessID, failureDomain string) (r *Router, stop func()) {
+	t.Helper()
 	r = New(Options{
-		Settings: Settings{VM: id.VM, FailureDomain: failureDomain, PeerAddress: id.VM}, Incarnation: id.Incarnation, Network: host,
+		Settings: Settings{VM: id.VM, FailureDomain: failureDomain, PeerAddress: id.VM}, Incarnation: id.Incarnation, Network: network,
 		Protocol: testProtocol{}, Table: standin.NewTable(), Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
 	})
 	r.ReplaceEndpoints([]catalog.Endpoint{{ID: "e", Service: "s", Address: "127.0.0.1:1"}})
-	listener, err := host.Listen(id.VM)
+	listener, err := network.Listen(id.VM)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -48,7 +60,6 @@
 	go func() { r.sendLoadUpdates(ctx); done <- struct{}{} }()
 	go func() { r.expireEndpoints(ctx); done <- struct{}{} }()
 	stop = func() {
-		host.Kill()
 		cancel()
 		for range cap(done) {
 			<-done
@@ -199,3 +210,33 @@
 		t.Fatalf("%d waiting tokens after the end of the stream, error %v", choice.PeerWaitingTokens, err)
 	}
 }
+
+// realNetwork is the network of the machine, of which one listener can fall silent.
+type realNetwork struct {
+	rpc.TCP
+	listener net.Listener
+}
+
+func (n realNetwork) Listen(string) (net.Listener, error) { return n.listener, nil }
+
+// The kernel takes the updates and tells nobody that none arrives.
+func TestProofLoadUpdatesGoOnAfterTheirConnectionFellSilent(t *testing.T) {
+	a, b := prepaid.ProcessID{VM: "a", Incarnation: 1}, prepaid.ProcessID{VM: "b", Incarnation: 2}
+	listener := silentnet.NewListener(listenOnLoopback(t))
+	tcp := rpc.TCP{MaxUnacked: time.Second}
+	first, stopFirst := startPeerRouterOn(t, realNetwork{tcp, listenOnLoopback(t)}, a, "fd")
+	defer stopFirst()
+	second, stopSecond := startPeerRouterOn(t, realNetwork{tcp, listener}, b, "fd")
+	defer stopSecond()
+	first.peers.add(b, listener.Addr().String(), "fd")
+	send := func() {
+		if _, err := first.pick(routing.PromptQuery{Service: "s", PromptTokens: 5_000}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send()
+	eventually(t, "the first prompt is reported", func() bool { return peerWaitingTokens(t, second) == 5_000 })
+	silence(t, listener)
+	send()
+	eventually(t, "the second prompt is reported", func() bool { return peerWaitingTokens(t, second) == 10_000 })
+}
--- a/direct/silentconn_test.go
+++ b/direct/silentconn_test.go
@@ -10,70 +10,24 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
-	"unsafe"
 
 	"jackdawswitch/catalog"
+	"jackdawswitch/rpc/silentnet"
 )
 
-// silentListener accepts connections that can fall silent: their kernel drops what arrives, and
-// acknowledges none of it, while new connections work.
-type silentListener struct {
-	net.Listener
-
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-func (l *silentListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err == nil {
-		l.mu.Lock()
-		l.conns = append(l.conns, conn)
-		l.mu.Unlock()
-	}
-	return conn, err
-}
-
-// silence drops all that arrives from now on on the connections that are open.
-func (l *silentListener) silence(t testing.TB) {
-	t.Helper()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, conn := range l.conns {
-		dropArrivals(t, conn)
-	}
-	l.conns = nil
-}
-
-// dropArrivals makes the kernel drop all packets that arrive on a connection.
-func dropArrivals(t testing.TB, conn net.Conn) {
+// silence makes the connections of a listener fall silent.
+func silence(t *testing.T, l *silentnet.Listener) {
 	t.Helper()
-	raw, err := conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		t.Fatal(err)
-	}
-	// A filter of one instruction, which accepts no byte.
-	reject := syscall.SockFilter{Code: syscall.BPF_RET | syscall.BPF_K}
-	program := syscall.SockFprog{Len: 1, Filter: &reject}
-	var errno syscall.Errno
-	err = raw.Control(func(fd uintptr) {
-		_, _, errno = syscall.Syscall6(syscall.SYS_SETSOCKOPT, fd, syscall.SOL_SOCKET, syscall.SO_ATTACH_FILTER,
-			uintptr(unsafe.Pointer(&program)), unsafe.Sizeof(program), 0)
-	})
-	if err == nil && errno != 0 {
-		err = errno
-	}
-	if err != nil && !strings.Contains(err.Error(), "use of closed") {
+	if err := l.Silence(); err != nil {
 		t.Fatal(err)
 	}
 }
 
 // startSilentEndpoint starts an endpoint, which keeps its connections, and adds it to the router.
-func (g *testRouter) startSilentEndpoint(id string, handler http.HandlerFunc) *silentListener {
-	l := &silentListener{Listener: listenOnLoopback(g.t)}
+func (g *testRouter) startSilentEndpoint(id string, handler http.HandlerFunc) *silentnet.Listener {
+	l := silentnet.NewListener(listenOnLoopback(g.t))
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set("T-Id", r.Header.Get("T-Id"))
@@ -94,7 +48,7 @@
 
 // newSilentRouter starts a router with a long timeout of its routes, and endpoints that respond by
 // handler, whose connections the router keeps.
-func newSilentRouter(t *testing.T, endpoints int, handler http.HandlerFunc) (*testRouter, []*silentListener) {
+func newSilentRouter(t *testing.T, endpoints int, handler http.HandlerFunc) (*testRouter, []*silentnet.Listener) {
 	t.Helper()
 	g := newTestRouter(t, 0, nil)
 	cfg := testConfig()
@@ -104,7 +58,7 @@
 	}
 	cfg.Limits.MaxBodyBytes = 64 << 20
 	g.router.ApplyConfig(cfg)
-	var listeners []*silentListener
+	var listeners []*silentnet.Listener
 	for n := range endpoints {
 		listeners = append(listeners, g.startSilentEndpoint("e"+strconv.Itoa(n), handler))
 	}
@@ -153,7 +107,7 @@
 				})
 				g.keepConnections()
 				for _, l := range listeners {
-					l.silence(t)
+					silence(t, l)
 				}
 				for i := range 14 {
 					started := time.Now()
@@ -176,7 +130,7 @@
 	})
 	g.keepConnections()
 	for _, l := range listeners {
-		l.silence(t)
+		silence(t, l)
 	}
 	started, first := time.Now(), make(chan callerResponse)
 	go func() { first <- g.send(http.MethodPost, "/book/a", "x", "T-Deadline", "1000") }()
@@ -215,7 +169,7 @@
 	<-arrived
 	time.Sleep(50 * time.Millisecond)
 	for _, l := range listeners {
-		l.silence(t)
+		silence(t, l)
 	}
 	if status, took := <-statuses, time.Since(started); status != http.StatusOK || took > 5*time.Second {
 		t.Errorf("status %d after %v, want 200 from another endpoint within 5 s", status, took)
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -6,9 +6,11 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
@@ -39,14 +41,34 @@
 }
 
 // TCP is the Network of plain TCP connections.
-type TCP struct{}
+type TCP struct {
+	// MaxUnacked is how long what a process sends on a connection that it dialled may be
+	// unacknowledged, or not fit into the other's window, until the kernel ends the connection;
+	// 0 for the kernel's own time of about a quarter of an hour.
+	MaxUnacked time.Duration
+}
 
 // Dial implements Network.
-func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+func (t TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
+	if t.MaxUnacked > 0 {
+		dialer.Control = t.limitUnacked
+	}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// limitUnacked sets MaxUnacked on a socket.
+func (t TCP) limitUnacked(_, _ string, conn syscall.RawConn) error {
+	var err error
+	controlErr := conn.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(t.MaxUnacked.Milliseconds()))
+	})
+	if controlErr != nil {
+		err = controlErr
+	}
+	return errors.WithStack(err)
+}
+
 // Listen implements Network.
 func (TCP) Listen(address string) (net.Listener, error) {
 	return net.Listen("tcp", address)
