Calls to other processes: drop idle connections that fell silent with one

After a call without an answer its connection was closed, but the pool went on with the others to the same process, the one that was idle for longest first. When all had fallen silent, up to eight calls, one after another, waited for their whole time: reservations and settlements of credit (80 to 400 ms each), questions for the origin of a stream (300 ms), relayed calls to the store (2 s). A caller who was refused for it and came back met the next one.

With its own, an overdue call now closes the idle connections to that process that brought no response since it began. Those that did are kept, so that a late answer of a busy process doesn't cost connections that others use.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -92,8 +93,9 @@
 	// much while it reads one.
 	MaxResponseBytes int
 	// CloseOverdue closes the connection of a call that got no response by its deadline, as
-	// the process at its other end may be sending bytes without end. Otherwise it is used
-	// again.
+	// the process at its other end may be sending bytes without end, and the idle connections
+	// to that process that brought no response since the call began, as they may have fallen
+	// silent with it. Otherwise they are used again.
 	CloseOverdue bool
 }
 
@@ -137,25 +139,55 @@
 	opts := drpcconn.Options{Manager: managerOptions(c.opts.MaxResponseBytes)}
 	out := drpcconn.NewWithOptions(conn, opts)
 	if c.opts.CloseOverdue {
-		return overdueCloser{out}, nil
+		closer := &overdueCloser{Conn: out, client: c, address: address}
+		closer.lastUsed.Store(time.Now().UnixNano())
+		return closer, nil
 	}
 	return out, nil
 }
 
 // overdueCloser is a connection that is closed after a call that got no response.
-type overdueCloser struct{ *drpcconn.Conn }
+type overdueCloser struct {
+	*drpcconn.Conn
+	client  *Client
+	address string
+	// lastUsed is when the connection last brought a response, or was opened, in Unix
+	// nanoseconds.
+	lastUsed atomic.Int64
+}
 
 // Invoke implements drpc.Conn.
-func (c overdueCloser) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+func (c *overdueCloser) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	started := time.Now()
 	err := c.Conn.Invoke(ctx, rpc, enc, in, out)
+	if err == nil {
+		c.lastUsed.Store(time.Now().UnixNano())
+	}
 	ended := errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
 	if ended && !errors.Is(ctx.Err(), context.Canceled) {
 		// The deadline passed, or a message for a call that was never made ended this one.
 		_ = c.Close()
+		c.client.closeUnusedSince(started, c.address)
 	}
 	return err
 }
 
+// closeUnusedSince closes the idle connections to an address that brought no response since a time.
+func (c *Client) closeUnusedSince(since time.Time, address string) {
+	for range maxIdlePerAddress {
+		// The one that was given back first comes first.
+		conn, ok := c.pool.Take(address)
+		if !ok {
+			return
+		}
+		if closer, ok := conn.(*overdueCloser); ok && closer.lastUsed.Load() >= since.UnixNano() {
+			c.pool.Put(address, conn)
+			return
+		}
+		_ = conn.Close()
+	}
+}
+
 // Close closes the idle connections in the pool.
 func (c *Client) Close() error {
 	return c.pool.Close()
