direct: events that come with the break of a stream are sent

Callers saw: a closed connection with no answer at all, or a stream that lacks whole events which its endpoint had sent and the router had read and charged.

Cause: the router flushes what it wrote before it reads on. A read that returns events together with an error, which HTTP's chunk reader does if the connection ends within a chunk, is the last one of the attempt; the response was then aborted with these events, and at first the head, in the server's buffer. A resumable stream got them only once the next endpoint's response began.

Why the fix works: a broken attempt flushes what it has written. The stream still ends without its last chunk. If the caller can't be written to, the server ends the context of the request, as before.

--- a/direct/stream.go
+++ b/direct/stream.go
@@ -101,6 +101,7 @@
 			a.err, a.crashed, a.final, a.blameless = err, false, true, true
 		}
 	}
+	x.flushBroken(a)
 	if ctx.Err() != nil && a.outcome == outcomeBroken {
 		a.cancelled()
 	}
@@ -111,6 +112,14 @@
 	}
 }
 
+// flushBroken sends the caller the events that came with the failure of an attempt. An error also
+// ends the context of the request.
+func (x *exchange) flushBroken(a *attempt) {
+	if a.outcome == outcomeBroken && x.headSent {
+		_ = x.responseController().Flush()
+	}
+}
+
 // streamEnd returns why a stream that ended isn't complete, nil if it is. Only a stream that goes
 // on after an event may have no data.
 func (x *exchange) streamEnd(a *attempt, err error) error {
--- a/direct/streamorder_test.go
+++ b/direct/streamorder_test.go
@@ -114,3 +114,29 @@
 		}
 	}
 }
+
+// TestEventsThatComeWithTheBreakAreDelivered guards against events, or a whole answer, that the router keeps: the
+// endpoint ends within a chunk, which is read as a whole.
+func TestEventsThatComeWithTheBreakAreDelivered(t *testing.T) {
+	for path, want := range map[string]string{"/stream/a": testEvent(1) + testEvent(2), "/resumed/a": testEvent(1) + testEvent(2) + testEvent(3)} {
+		g := newTestRouter(t, 0, nil)
+		serve := func(conn net.Conn, requests *bufio.Reader) {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, startOf("200 OK", "T-Signed: e\r\nTransfer-Encoding: chunked\r\n"))
+			if r.Header.Get("Last-Event-Id") == "2" {
+				_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n0\r\n\r\n", len(testEvent(3)), testEvent(3))
+				return
+			}
+			_, _ = io.WriteString(conn, "400\r\n"+testEvent(1)+testEvent(2)+"id: 3\nda")
+		}
+		g.router.ReplaceEndpoints([]catalog.Endpoint{rawEndpoint(t, "e0", serve), rawEndpoint(t, "e1", serve)})
+		got := g.send(http.MethodPost, path, "x")
+		if got.status != http.StatusOK || got.body != want || got.complete != (path == "/resumed/a") {
+			t.Errorf("%s: complete: %v, status %d, body %q", path, got.complete, got.status, got.body)
+		}
+	}
+}
