direct: a stream without numbers isn't resumed within one answer

Callers saw: events that come twice in a resumable stream that looks complete.

Cause: after a break the router asks another endpoint to go on after the last ID that it delivered. Data without an ID doesn't move that point, and IDs that aren't numbers can't be compared, so that whatever the next endpoint sent was passed on.

Why the fix works: the stream ends as broken if the last data delivered has no number; the caller decides how to go on. Comments don't count, nor does data without an ID before a number.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -65,6 +65,8 @@
 	// number of events written.
 	lastEventID string
 	eventCount  int64
+	// unnumbered is set while the last data written has no number as its ID.
+	unnumbered bool
 	// firstByteAt is when the first event, or a response that is not a stream, was
 	// written.
 	firstByteAt time.Time
--- a/direct/origins.go
+++ b/direct/origins.go
@@ -261,8 +261,11 @@
 func (x *exchange) endStream() { x.router.streams.ended(streamorigin.KeyOf(x.workspace, x.meta.ID)) }
 
 // mayResume reports whether a stream that has begun may go on at another endpoint: the version
-// that began it is certain.
+// that began it and the number of its last event are certain.
 func (x *exchange) mayResume() bool {
+	if x.unnumbered {
+		return false
+	}
 	if !x.bound || x.proven {
 		return true
 	}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -150,6 +150,10 @@
 	if id != "" {
 		x.lastEventID = id
 	}
+	if id != "" || hasData(event) {
+		_, err := strconv.ParseInt(id, 10, 64)
+		x.unnumbered = err != nil
+	}
 	return nil
 }
 
--- a/direct/streamorder_test.go
+++ b/direct/streamorder_test.go
@@ -10,8 +10,10 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"jackdawswitch/catalog"
 )
@@ -140,3 +142,39 @@
 		}
 	}
 }
+
+// TestProofAStreamWithoutNumbersIsNotResumedWithinOneAnswer guards against events that come twice: nobody can tell
+// where such a stream goes on.
+func TestProofAStreamWithoutNumbersIsNotResumedWithinOneAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		first, rest string
+		wantWhole   bool
+	}{
+		"no IDs":                           {first: "data: a\n\n", rest: "data: a\n\ndata: b\n\n"},
+		"an event without ID at the break": {first: "id: 1\ndata: a\n\ndata: b\n\n", rest: "data: b\n\nid: 2\ndata: c\n\n"},
+		"IDs that aren't numbers":          {first: "id: a\ndata: a\n\n", rest: "id: a\ndata: a\n\nid: b\ndata: b\n\n"},
+		"an event without ID before":       {first: "data: a\n\nid: 1\ndata: b\n\n", rest: "id: 2\ndata: c\n\n", wantWhole: true},
+		"a comment at the break":           {first: "id: 1\ndata: a\n\n: c\n\n", rest: "id: 2\ndata: b\n\n", wantWhole: true},
+		"nothing but a comment":            {first: ": c\n\n", rest: "data: a\n\n", wantWhole: true},
+	} {
+		var begun atomic.Bool
+		g := newTestRouter(t, 2, func(w http.ResponseWriter, _ *http.Request) {
+			if !begun.CompareAndSwap(false, true) {
+				_, _ = io.WriteString(w, c.rest)
+				return
+			}
+			_, _ = io.WriteString(w, c.first)
+			w.(http.Flusher).Flush()
+			time.Sleep(20 * time.Millisecond)
+			resetConnection(w)
+		})
+		got := g.send(http.MethodPost, "/resumed/a", "x")
+		want := c.first
+		if c.wantWhole {
+			want += c.rest
+		}
+		if got.complete != c.wantWhole || got.body != want {
+			t.Errorf("%s: complete: %v, body %q", name, got.complete, got.body)
+		}
+	}
+}
