direct: a broken stream is reset for HTTP/1.0 callers

Callers saw (HTTP/1.0, without chunks): a stream that broke off looks complete.

Cause: the router ends the connection in order, which is the end of the body for such a caller.

Why the fix works: an exchange that gives up after the start of the response takes the connection over and resets it. Events that have reached the caller's kernel can still be read there.

Not covered: a connection that the server closes itself (`Server.Close` at the end of the shutdown grace), and the end of the process. For these the connection needs SO_LINGER 0 from the start of the stream, and so a ConnContext of the callers' server.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -203,6 +203,7 @@
 // giveUp ends the exchange and returns the refusal for the caller.
 func (x *exchange) giveUp(r *refusal.Error) error {
 	x.progress.step(eventGiveUp)
+	x.resetBrokenResponse()
 	return r
 }
 
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -191,6 +192,26 @@
 	x.writer.WriteHeader(http.StatusOK)
 }
 
+// resetBrokenResponse resets the connection of an HTTP/1.0 caller that has the start of a response.
+// An orderly end would make it complete, as the body has no chunks.
+func (x *exchange) resetBrokenResponse() {
+	if !x.headSent || x.request.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := x.responseController().Hijack()
+	if err != nil {
+		x.router.logger.Warn("failed to reset the connection of an HTTP/1.0 caller", "request", x.meta.ID, "error", err.Error())
+		return
+	}
+	if counted, ok := conn.(*countedConn); ok {
+		conn = counted.Conn
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (x *exchange) responseController() *http.ResponseController {
 	return http.NewResponseController(x.writer)
 }
--- a/direct/streamorder_test.go
+++ b/direct/streamorder_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strconv"
@@ -178,3 +180,33 @@
 		}
 	}
 }
+
+// To an HTTP/1.0 caller, the orderly end of the connection is the end of the response.
+func TestProofABrokenStreamIsResetForHTTP10Callers(t *testing.T) {
+	for _, breaks := range []bool{false, true} {
+		g := newTestRouter(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 3)
+			time.Sleep(20 * time.Millisecond)
+			if breaks {
+				resetConnection(w)
+			}
+		})
+		server := httptest.NewUnstartedServer(g.router)
+		server.Listener = g.router.overload.traffic.listen(server.Listener)
+		server.Start()
+		t.Cleanup(server.Close)
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = fmt.Fprintf(conn, "POST /stream/a HTTP/1.0\r\nHost: h.example\r\nT-Id: r1\r\nT-Key: %s\r\n\r\n", testKey)
+		got, err := io.ReadAll(conn)
+		if breaks != errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("broken: %v, got %q, error %v", breaks, got, err)
+		}
+		if want := testEvent(1) + testEvent(2) + testEvent(3); !breaks && !strings.HasSuffix(string(got), "\r\n\r\n"+want) {
+			t.Errorf("got %q", got)
+		}
+	}
+}
