direct: events with CRLF are passed on

Callers saw: 502, or a stream that lacks its end, from an endpoint whose lines end with CRLF.

Cause: only two LF ended an event, so that the router held the whole stream and took its end for half an event.

Why the fix works: LF CRLF ends an event too, whichever comes first. Lines that end with CR alone are still not known.

--- a/direct/stream.go
+++ b/direct/stream.go
@@ -20,17 +20,17 @@
 )
 
 var (
-	eventTerminator = []byte("\n\n")
-	idField         = []byte("id:")
-	dataField       = []byte("data:")
-	dataLine        = []byte("\ndata:")
+	emptyLine     = []byte("\n\n")
+	emptyLineCRLF = []byte("\n\r\n")
+	idField       = []byte("id:")
+	dataField     = []byte("data:")
+	dataLine      = []byte("\ndata:")
 )
 
 // splitEvents is a bufio.SplitFunc that splits a stream into events, each including
 // the empty line that terminates it. A remainder without that line is an error.
 func splitEvents(data []byte, atEOF bool) (advance int, token []byte, err error) {
-	if end := bytes.Index(data, eventTerminator); end >= 0 {
-		end += len(eventTerminator)
+	if end := eventLength(data); end > 0 {
 		return end, data[:end], nil
 	}
 	if atEOF && len(data) > 0 {
@@ -39,6 +39,20 @@
 	return 0, nil, nil
 }
 
+// eventLength returns the length of the first event in data, 0 if it is incomplete. Lines end with LF
+// or CRLF.
+func eventLength(data []byte) int {
+	end := 0
+	if i := bytes.Index(data, emptyLine); i >= 0 {
+		end = i + len(emptyLine)
+		data = data[:end]
+	}
+	if i := bytes.Index(data, emptyLineCRLF); i >= 0 {
+		end = i + len(emptyLineCRLF)
+	}
+	return end
+}
+
 // eventID returns the ID of an event, or an empty string if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.SplitSeq(event, []byte("\n")) {
--- a/direct/streamorder_test.go
+++ b/direct/streamorder_test.go
@@ -210,3 +210,20 @@
 		}
 	}
 }
+
+// TestAStreamWithCRLFIsPassedOn guards against a stream that is held to its end and then lost.
+func TestAStreamWithCRLFIsPassedOn(t *testing.T) {
+	for _, event := range []string{"id: 1\r\ndata: x\r\n\r\n", "id: 1\ndata: x\n\r\n", "id: 1\r\ndata: x\n\n"} {
+		g := newTestRouter(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+			for _, b := range []byte(event + strings.Replace(event, "1", "2", 1)) {
+				_, _ = w.Write([]byte{b})
+				w.(http.Flusher).Flush()
+			}
+			_, _ = io.WriteString(w, "id: 3\r\ndata: x\r\n")
+		})
+		got := g.send(http.MethodPost, "/stream/a", "x")
+		if want := event + strings.Replace(event, "1", "2", 1); got.body != want || got.complete {
+			t.Errorf("complete: %v, status %d, body %q", got.complete, got.status, got.body)
+		}
+	}
+}
