A panic while a request is handled is answered, logged and settled

What a caller would see: a closed connection without an answer, and operators nothing: net/http recovers the panic, and the router gives its messages the level Debug, which the process doesn't print. The credit stays reserved.

A panic now becomes the request's refusal: 500, which promises nothing, a log line at Error with the stack, and the credit settled as may have run. The count of open requests at the endpoint isn't taken back.

Evidence, before:

panics_test.go:37: at the request: response {status:0 body: header:map[] complete:false}, 0 runs; want a 500 that promises nothing and 0 panics_test.go:37: at the response: response {status:0 ...}, 1 runs; want a 500 that promises nothing and 1 panics_test.go:42: condition not met within 5 s: the reservation is settled

--- a/direct/serve.go
+++ b/direct/serve.go
@@ -45,18 +45,7 @@
 	r.metrics.requests.Inc(1)
 	r.drain.inFlight.Add(1)
 	defer r.drain.inFlight.Add(-1)
-	err := x.prepare()
-	var cancel context.CancelFunc
-	if err == nil {
-		var ctx context.Context
-		ctx, cancel = context.WithDeadline(req.Context(), x.deadline)
-		defer cancel()
-		defer context.AfterFunc(r.drain.requestsEnd, cancel)()
-		err = x.admit(ctx)
-		if err == nil {
-			err = x.run(ctx)
-		}
-	}
+	err := x.handle()
 	x.recordResult(err)
 	x.settleCredit()
 	if err != nil {
