A refusal no longer waits for a body that stalls

What callers saw: one whose body stopped on the way got no refusal (404, 401 or 503) at all, however long it waited. One that the router answers at once, as it sent Expect: 100-continue or the router was draining, kept a connection that the router had said it would close. While draining, such a connection lasts until the in-flight requests are cut off.

Cause: net/http reads up to 256 KB of a body that the handler left unread, before the response or after it, and has no time limit for that.

The rest of the body of a refused request now takes 3 s at most.

Evidence, before:

.../no_route: no answer: i/o timeout .../no_route,_100-continue: the connection is still open: i/o timeout .../no_route,_draining: the connection is still open: i/o timeout

--- a/direct/serve.go
+++ b/direct/serve.go
@@ -17,6 +17,10 @@
 	// bodyTimeout bounds the time that a caller takes to send the request body.
 	bodyTimeout = 10 * time.Second
 
+	// refusedBodyTimeout bounds the time for which the rest of a body is read that a refusal
+	// leaves unread. net/http reads it first, as callers may send it before they read.
+	refusedBodyTimeout = 3 * time.Second
+
 	// writeSlack is the time after a request's deadline in which its response may
 	// still be written to a slow caller.
 	writeSlack = 300 * time.Millisecond
@@ -49,6 +53,7 @@
 	x.recordResult(err)
 	x.settleCredit()
 	if err != nil {
+		x.boundUnreadBody()
 		x.writeRefusal(refusal.FromError(err))
 	}
 }
@@ -158,6 +163,16 @@
 	return nil
 }
 
+// boundUnreadBody bounds the time that a body takes which a refusal leaves unread.
+func (x *exchange) boundUnreadBody() {
+	if x.request.ContentLength == 0 || x.body != nil {
+		return
+	}
+	if err := x.responseController().SetReadDeadline(time.Now().Add(refusedBodyTimeout)); err != nil {
+		x.router.logger.Debug("no read deadline for the rest of a body", "request", x.meta.ID, "error", err.Error())
+	}
+}
+
 // admit checks the quarantines of requests and prompt parts, counts the request for the
 // retry budget, sets the write deadline and reserves the largest number of prepaid tokens
 // that the request may use. Its error is a *refusal.Error.
