A stopping router takes what is nearly sure to end, not only what never lasted longer

The longest request of the last minute, with a quarter more, decided what a stopping router refused. Where all routers stop in turn, 0.3 s apart, that refused several hundred requests that would have ended in time, and their callers met the next stopping router.

--- a/direct/drain.go
+++ b/direct/drain.go
@@ -68,10 +68,11 @@
 	d.durations.Record(time.Now(), route, took)
 }
 
-func (d *drainState) longestDuration(route string) time.Duration {
+// usualDuration returns the time in which nearly all requests on a route end, 0 if it isn't known.
+func (d *drainState) usualDuration(route string) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.durations.Longest(time.Now(), route)
+	return d.durations.Usual(time.Now(), route)
 }
 
 // hasEnded reports whether the requests in flight were ended because the process stops.
@@ -89,12 +90,12 @@
 	if timetable == nil {
 		return nil
 	}
-	longest := drain.longestDuration(x.route.Name)
-	if timetable.Takes(time.Now(), x.deadline, longest) {
+	usual := drain.usualDuration(x.route.Name)
+	if timetable.Takes(time.Now(), x.deadline, usual) {
 		return nil
 	}
-	return refusal.NotRun(refusal.CauseStopping, "the router stops in %s, requests of the route take up to %s",
-		time.Until(timetable.EndRequests).Round(time.Millisecond), longest.Round(time.Millisecond)).WithRetryAfter(stoppingRetryAfter())
+	return refusal.NotRun(refusal.CauseStopping, "the router stops in %s, requests of the route take %s",
+		time.Until(timetable.EndRequests).Round(time.Millisecond), usual.Round(time.Millisecond)).WithRetryAfter(stoppingRetryAfter())
 }
 
 // stoppedRefusal returns the refusal of a request that the router ended because it stops.
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -2,7 +2,10 @@
 // ends what is in flight. It is pure: the times are arguments.
 package shutdown
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Timetable is when the steps of a shutdown are due.
 type Timetable struct {
@@ -29,39 +32,63 @@
 	}
 }
 
-// marginDivisor is the part of the longest recent duration by which a request may exceed it.
-const marginDivisor = 4
-
-// Takes reports whether a request that arrives now will end before EndRequests, by its deadline
-// or by the longest recent duration of its kind, which is 0 if it isn't known.
-func (t Timetable) Takes(now, deadline time.Time, longest time.Duration) bool {
+// Takes reports whether a request that arrives now is expected to end before EndRequests: by its
+// deadline, or by the time in which nearly all requests of its kind end, which is 0 if it isn't known.
+func (t Timetable) Takes(now, deadline time.Time, usual time.Duration) bool {
 	if !deadline.After(t.EndRequests) {
 		return true
 	}
-	return longest > 0 && !now.Add(longest+longest/marginDivisor).After(t.EndRequests)
+	return usual > 0 && !now.Add(usual).After(t.EndRequests)
 }
 
-// durationWindow is how long a duration counts at least. It counts at most twice as long.
-const durationWindow = 30 * time.Second
+const (
+	// estimateWeight is the weight of a duration in the moving averages.
+	estimateWeight = 1.0 / 64
+
+	// deviations is the number of mean deviations beyond the mean within which nearly all
+	// durations lie, also those of skewed distributions.
+	deviations = 4
+
+	// durationWindow is how long durations count at least after the last one of their kind. They
+	// count at most twice as long.
+	durationWindow = 30 * time.Second
+)
 
-// Durations keeps the longest recent duration of each kind of request. The zero value is empty.
-// It is not safe for concurrent use.
+// estimate is the moving average of durations and that of their distances from it.
+type estimate struct{ mean, deviation float64 }
+
+// Durations estimates how long the requests of each kind take. The zero value is empty. It is not
+// safe for concurrent use.
 type Durations struct {
-	current, previous map[string]time.Duration
+	current, previous map[string]estimate
 	// begun is when the current window began.
 	begun time.Time
 }
 
 // Record records how long a request of a kind took.
 func (d *Durations) Record(now time.Time, kind string, took time.Duration) {
-	d.rotate(now)
-	d.current[kind] = max(d.current[kind], took)
+	e, ok := d.find(now, kind)
+	if !ok {
+		e = estimate{mean: float64(took), deviation: float64(took) / 2}
+	}
+	distance := float64(took) - e.mean
+	e.mean += estimateWeight * distance
+	e.deviation += estimateWeight * (math.Abs(distance) - e.deviation)
+	d.current[kind] = e
+}
+
+// Usual returns the time in which nearly all recent requests of a kind ended, 0 if there was none.
+func (d *Durations) Usual(now time.Time, kind string) time.Duration {
+	e, _ := d.find(now, kind)
+	return time.Duration(e.mean + deviations*e.deviation)
 }
 
-// Longest returns the longest recent duration of a kind, 0 if there is none.
-func (d *Durations) Longest(now time.Time, kind string) time.Duration {
+func (d *Durations) find(now time.Time, kind string) (e estimate, ok bool) {
 	d.rotate(now)
-	return max(d.current[kind], d.previous[kind])
+	if e, ok = d.current[kind]; !ok {
+		e, ok = d.previous[kind]
+	}
+	return e, ok
 }
 
 func (d *Durations) rotate(now time.Time) {
@@ -73,5 +100,5 @@
 	if age >= 2*durationWindow {
 		d.previous = nil
 	}
-	d.current, d.begun = make(map[string]time.Duration), now
+	d.current, d.begun = make(map[string]estimate), now
 }
