A stream that outlasts the shutdown grace is reset for HTTP/1.0 callers of a real listener

The connections of callers have a type of their own, which the reset didn't know. The test passes with the change; the end of the response would otherwise be its connection's regular end.

--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -174,6 +176,22 @@
 	}
 }
 
+// The end of its connection is the end of the response for an HTTP/1.0 caller.
+func TestProofAStreamThatOutlastsTheShutdownGraceIsResetForHTTP10Callers(t *testing.T) {
+	t.Parallel()
+	g := runRouter(t, 4*time.Second, func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 2)
+		<-r.Context().Done()
+	})
+	caller := g.dial()
+	caller.write(t, "GET /stream/a HTTP/1.0\r\nHost: h.example\r\nT-Id: r1\r\nT-Key: "+testKey+"\r\nT-Deadline: 30000\r\n\r\n")
+	eventually(t, "the stream runs", func() bool { return g.runs() == 1 })
+	g.stop()
+	if got, err := io.ReadAll(caller.responses); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %q, error %v, want a reset", got, err)
+	}
+}
+
 func TestProofAStoppingRouterRefusesAtOnceWhatItCanNotFinish(t *testing.T) {
 	t.Parallel()
 	g := runRouter(t, 4*time.Second, func(w http.ResponseWriter, r *http.Request) {
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -217,8 +217,8 @@
 		x.router.logger.Warn("failed to reset the connection of an HTTP/1.0 caller", "request", x.meta.ID, "error", err.Error())
 		return
 	}
-	if counted, ok := conn.(*countedConn); ok {
-		conn = counted.Conn
+	if caller, ok := conn.(*callerConn); ok {
+		conn = caller.Conn
 	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
