A stopping router passes no callers on to others that stop too

Beyond what is nearly sure to end, a request is refused so that another router serves it. If every other router that is known is about to stop as well, its caller has nowhere to go: then the mean duration of the route decides.

--- a/direct/drain.go
+++ b/direct/drain.go
@@ -68,11 +68,15 @@
 	d.durations.Record(time.Now(), route, took)
 }
 
-// usualDuration returns the time in which nearly all requests on a route end, 0 if it isn't known.
-func (d *drainState) usualDuration(route string) time.Duration {
+// expectedDuration returns the time that requests on a route take, 0 if it isn't known: that in which
+// nearly all of them end, or else the mean.
+func (d *drainState) expectedDuration(route string, nearlyAll bool) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.durations.Usual(time.Now(), route)
+	if nearlyAll {
+		return d.durations.Usual(time.Now(), route)
+	}
+	return d.durations.Mean(time.Now(), route)
 }
 
 // hasEnded reports whether the requests in flight were ended because the process stops.
@@ -90,12 +94,13 @@
 	if timetable == nil {
 		return nil
 	}
-	usual := drain.usualDuration(x.route.Name)
-	if timetable.Takes(time.Now(), x.deadline, usual) {
+	// If no other router stays, a caller that is refused has nowhere to go.
+	expected := drain.expectedDuration(x.route.Name, x.router.peers.anyStays())
+	if timetable.Takes(time.Now(), x.deadline, expected) {
 		return nil
 	}
 	return refusal.NotRun(refusal.CauseStopping, "the router stops in %s, requests of the route take %s",
-		time.Until(timetable.EndRequests).Round(time.Millisecond), usual.Round(time.Millisecond)).WithRetryAfter(stoppingRetryAfter())
+		time.Until(timetable.EndRequests).Round(time.Millisecond), expected.Round(time.Millisecond)).WithRetryAfter(stoppingRetryAfter())
 }
 
 // stoppedRefusal returns the refusal of a request that the router ended because it stops.
--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"jackdawswitch/catalog"
+	"jackdawswitch/prepaid"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/standin"
 )
@@ -227,6 +228,27 @@
 	}
 }
 
+// Routers that stop together would pass their callers on to each other.
+func TestAStoppingRouterTakesMoreIfNoOtherStays(t *testing.T) {
+	x := &exchange{router: newTestRouter(t, 0, nil).router, deadline: time.Now().Add(time.Minute), route: Route{Name: "a"}}
+	// Nearly all end within 9 s, in the mean after 3 s.
+	x.router.drain.recordDuration("a", 3*time.Second)
+	timetable := newTimetable(time.Now(), 8*time.Second)
+	x.router.drain.timetable.Store(&timetable)
+	if err := x.checkStopping(); err != nil {
+		t.Errorf("no other router: %v", err)
+	}
+	id := prepaid.ProcessID{VM: "other", Incarnation: 1}
+	x.router.peers.known["other"] = &peerRouter{id: id}
+	if err := x.checkStopping(); err == nil {
+		t.Error("taken though another router stays")
+	}
+	x.router.peers.markLeaving(id)
+	if err := x.checkStopping(); err != nil {
+		t.Errorf("all others are leaving: %v", err)
+	}
+}
+
 func TestProofAResponseThatEndsAfterTheStopBeganEndsItsConnection(t *testing.T) {
 	t.Parallel()
 	finish := make(chan struct{})
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -300,6 +300,18 @@
 	return len(p.known)
 }
 
+// anyStays reports whether another router is known that isn't about to stop.
+func (p *peers) anyStays() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, known := range p.known {
+		if !known.leaving {
+			return true
+		}
+	}
+	return false
+}
+
 // address returns the address of the router on the VM of a process, or an empty
 // string if it is unknown.
 func (p *peers) address(id prepaid.ProcessID) string {
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -33,12 +33,12 @@
 }
 
 // Takes reports whether a request that arrives now is expected to end before EndRequests: by its
-// deadline, or by the time in which nearly all requests of its kind end, which is 0 if it isn't known.
-func (t Timetable) Takes(now, deadline time.Time, usual time.Duration) bool {
+// deadline, or by the time that requests of its kind take, which is 0 if it isn't known.
+func (t Timetable) Takes(now, deadline time.Time, expected time.Duration) bool {
 	if !deadline.After(t.EndRequests) {
 		return true
 	}
-	return usual > 0 && !now.Add(usual).After(t.EndRequests)
+	return expected > 0 && !now.Add(expected).After(t.EndRequests)
 }
 
 const (
@@ -83,6 +83,12 @@
 	return time.Duration(e.mean + deviations*e.deviation)
 }
 
+// Mean returns the mean duration of the recent requests of a kind, 0 if there was none.
+func (d *Durations) Mean(now time.Time, kind string) time.Duration {
+	e, _ := d.find(now, kind)
+	return time.Duration(e.mean)
+}
+
 func (d *Durations) find(now time.Time, kind string) (e estimate, ok bool) {
 	d.rotate(now)
 	if e, ok = d.current[kind]; !ok {
