A late answer is written, not cut off by the deadline of its request

What callers saw: a closed connection without an answer, where the router came to its answer over 0.3 s after the request's deadline: because it got no processor for a while, or because the body took longer than the request may. Neither the endpoint's whole response nor a 502 or 504 got through, and the log says "request answered".

Cause: the write deadline of the connection is set once, as the request is admitted, to 0.3 s after the request's deadline. It is meant for callers that read slowly; a response that begins later can't be written at all.

A response that begins after the request's deadline now has 0.3 s from then. One that has begun keeps its bound.

Evidence, before:

.../body_lasts_longer_than_the_request_may: no answer: EOF .../router_is_held_up:_/book/a: response {status:0 body: complete:false}, want status 200 or 504 .../router_is_held_up:_/book/broken, .../stream/a: the same

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -146,6 +146,7 @@
 			// start the caller has received.
 			return true, x.giveUp(x.failureRefusal())
 		}
+		x.extendWriteDeadline()
 		x.writeResponse(a)
 		return true, nil
 	case outcomeNotSent:
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -54,6 +54,7 @@
 	x.settleCredit()
 	if err != nil {
 		x.boundUnreadBody()
+		x.extendWriteDeadline()
 		x.writeRefusal(refusal.FromError(err))
 	}
 }
@@ -163,6 +164,18 @@
 	return nil
 }
 
+// extendWriteDeadline gives a response that begins after the request's deadline the time to be
+// written: the router may have been held up, or the body have come late.
+func (x *exchange) extendWriteDeadline() {
+	now := time.Now()
+	if x.headSent || x.deadline.IsZero() || now.Before(x.deadline) {
+		return
+	}
+	if err := x.responseController().SetWriteDeadline(now.Add(writeSlack)); err != nil {
+		x.router.logger.Debug("no write deadline for a late response", "request", x.meta.ID, "error", err.Error())
+	}
+}
+
 // boundUnreadBody bounds the time that a body takes which a refusal leaves unread.
 func (x *exchange) boundUnreadBody() {
 	if x.request.ContentLength == 0 || x.body != nil {
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -121,6 +121,7 @@
 		a.cancelled()
 	}
 	if a.outcome == outcomeAnswered {
+		x.extendWriteDeadline()
 		x.sendHead(a)
 		x.endStream()
 		x.progress.step(eventEnd)
@@ -154,6 +155,7 @@
 	if skip, err := x.checkEventOrder(id); skip || err != nil {
 		return err
 	}
+	x.extendWriteDeadline()
 	x.sendHead(a)
 	if _, err := x.writer.Write(event); err != nil {
 		return errors.WithStack(err)
