Proof of a stop beside silent connections: order its settlements

Under -race the test was reported: it adds settlements without a request under way, so that nothing orders them before the stop waits for them.

--- a/direct/silentdrain_test.go
+++ b/direct/silentdrain_test.go
@@ -51,6 +51,8 @@
 		}
 		r.fleetCredit.settle(reservation{workspace: "coffee", tokens: 10, holder: other, id: 1}, 5)
 	}
+	// Orders what was added before the drain's look at the same lock, as requests under way do.
+	r.peers.lender.count()
 	select {
 	case err := <-ended:
 		took := time.Since(stopped)
