Streams: go on elsewhere when their connection falls silent

A stream whose connection fell silent was cut when the patience of its callers was over (2 s or more after the last event), for good, though it could be resumed: a stream that is silent for so long has no reader any more. One whose response had begun, but no event, waited for its deadline and got 504.

The connection of a stream that may be resumed is watched to its end, as that of a request. Once it has begun, it is probed, and left after 0.65 of the patience, at least 1.5 s, without a packet and with a probe that had half a second; with more patience 2.9 s and several probes, as before the first event. The kernel of an endpoint's VM answers the probes however long the endpoint works. One lost probe on a lossy link costs one resumption that wasn't needed, at most.

--- a/direct/silence.go
+++ b/direct/silence.go
@@ -22,9 +22,19 @@
 	probeDelay    = 1200 * time.Millisecond
 	probeInterval = time.Second
 	unprobedTime  = 2900 * time.Millisecond
-	// minProbes is the number of unanswered probes that show it, as a kernel that doesn't tell
-	// when it heard of a connection doesn't count them either.
-	minProbes = 2
+
+	// A stream that has begun is left within patienceShare of the patience of its callers, which
+	// have left it else, but not before one probe had half a second: it is probed after
+	// streamProbeDelay, and the kernel sends the first probe a second after the last byte.
+	patienceShare    = 0.65
+	minUnprobedTime  = 1500 * time.Millisecond
+	streamProbeDelay = 900 * time.Millisecond
+
+	// minProbes is the number of unanswered probes that show it, and one in less than
+	// twoProbesTime. A kernel that doesn't tell when it heard of a connection doesn't count them.
+	minProbes     = 2
+	twoProbesTime = 2400 * time.Millisecond
+
 	// probeCount is the number of unanswered probes after which the kernel ends the connection,
 	// which is beyond the deadlines of requests.
 	probeCount = 100
@@ -74,8 +84,8 @@
 	}, true
 }
 
-// silenceWatch looks at the connection of an attempt until its response begins. An endpoint may be
-// silent for long while it works, so only what the kernel of its VM doesn't acknowledge tells that
+// silenceWatch looks at the connection of an attempt until its response begins, and to the end of a
+// stream. An endpoint may be silent for long while it works, so only what the kernel of its VM doesn't acknowledge tells that
 // the connection is silent.
 //
 // It answers connections that fall silent for good, all in one moment, while new ones work: each
@@ -86,23 +96,45 @@
 	sentAt   time.Time
 	// mayLeave is set if the request may be sent again before its deadline.
 	mayLeave bool
+	// unprobed is the time without a packet from which a connection that is probed is silent.
+	unprobed time.Duration
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
-	// probed is since when the connection is probed, zero if it isn't.
-	probed time.Time
+	// probed is set once the connection is probed.
+	probed bool
 }
 
 // watchSilence starts to watch the connection of an attempt. The caller must call stop.
 func (x *exchange) watchSilence(a *attempt) *silenceWatch {
+	return x.startWatch(a, unackedTime, unprobedTime)
+}
+
+// watchStream starts to watch the connection of a stream. The caller must call stop.
+func (x *exchange) watchStream(a *attempt) *silenceWatch {
+	return x.startWatch(a, probeDelay, unprobedTime)
+}
+
+// streamBegun records the first data of the stream, after which callers wait for less long.
+func (w *silenceWatch) streamBegun() {
+	unprobed := time.Duration(patienceShare * float64(w.attempt.timer.limit))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.unprobed = min(max(unprobed, minUnprobedTime), unprobedTime)
+	if !w.stopped {
+		w.timer.Reset(streamProbeDelay)
+	}
+}
+
+func (x *exchange) startWatch(a *attempt, first, unprobed time.Duration) *silenceWatch {
 	w := &silenceWatch{
-		exchange: x, attempt: a, sentAt: time.Now(),
+		exchange: x, attempt: a, sentAt: time.Now(), unprobed: unprobed,
 		mayLeave: (x.progress.repeatable || x.progress.resumable) && x.deliveredAttempts+1 < x.route.MaxEndpoints,
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(unackedTime, w.check)
+	w.timer = time.AfterFunc(first, w.check)
 	return w
 }
 
@@ -132,26 +164,27 @@
 	case state.unacked && heard < limit:
 		w.timer.Reset(max(limit-heard, recheckInterval))
 	case state.unacked:
-		w.end(heard)
+		w.end(heard, w.sentAt)
 	case !w.mayLeave:
-	case w.probed.IsZero() && now.Sub(w.sentAt) < probeDelay:
+	case !w.probed && now.Sub(w.sentAt) < streamProbeDelay:
 		w.timer.Reset(probeDelay - now.Sub(w.sentAt))
-	case w.probed.IsZero():
-		w.probed = now
+	case !w.probed:
+		w.probed = true
 		_ = conn.(*net.TCPConn).SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount})
-		w.timer.Reset(unprobedTime)
-	case heard >= unprobedTime && state.probes >= minProbes:
-		w.end(heard)
+		w.timer.Reset(max(w.unprobed-heard, recheckInterval))
+	case heard >= w.unprobed && (state.probes >= minProbes || state.probes > 0 && w.unprobed < twoProbesTime):
+		w.end(heard, now)
 	default:
-		w.timer.Reset(max(unprobedTime-heard, recheckInterval))
+		w.timer.Reset(max(w.unprobed-heard, recheckInterval))
 	}
 }
 
-// end makes other requests use no connection that may have fallen silent too, and ends the attempt
-// if the request may be sent again. Otherwise it waits on, as the connection may come back.
-func (w *silenceWatch) end(heard time.Duration) {
+// end makes other requests use no connection that may have fallen silent too, by a time, and ends
+// the attempt if the request may be sent again. Otherwise it waits on, as the connection may come
+// back.
+func (w *silenceWatch) end(heard time.Duration, by time.Time) {
 	x, a := w.exchange, w.attempt
-	x.router.conns.silent(a.conn, w.sentAt)
+	x.router.conns.silent(a.conn, by)
 	w.mayLeave = w.mayLeave && x.router.retries.takeRetry(x.service)
 	x.router.logger.Info("connection to an endpoint fell silent", "request", x.meta.ID, "endpoint", a.choice.Endpoint.ID,
 		"address", a.choice.Endpoint.Address, "unheard_ms", heard.Milliseconds(), "connection_idled_ms", a.connIdled.Milliseconds(), "send_again", w.mayLeave)
@@ -161,15 +194,15 @@
 	}
 }
 
-// silent closes the idle connections to all endpoints that have brought nothing since a request
-// was sent on a connection that turned out to be silent: they may have fallen silent with it.
-func (p *connPool) silent(c *endpointConn, sentAt time.Time) {
+// silent closes the idle connections to all endpoints that have brought nothing since a time by
+// which a connection had fallen silent: they may have fallen silent with it.
+func (p *connPool) silent(c *endpointConn, by time.Time) {
 	p.mu.Lock()
 	p.silenced.Inc(1)
 	var suspects []*endpointConn
 	for _, conns := range p.idle {
 		for _, other := range conns {
-			if other.idleSince.Before(sentAt) {
+			if other.idleSince.Before(by) {
 				suspects = append(suspects, other)
 			}
 		}
--- a/direct/silentconn_test.go
+++ b/direct/silentconn_test.go
@@ -213,3 +213,46 @@
 		}
 	})
 }
+
+// Its caller had left it by when the router gave it up.
+func TestProofAStreamWhoseConnectionFallsSilentGoesOnElsewhere(t *testing.T) {
+	for name, c := range map[string]struct {
+		before int
+		most   time.Duration
+	}{
+		"after an event": {2, minPatience},
+		"after the head": {0, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			written, first := make(chan struct{}), make(chan struct{}, 1)
+			first <- struct{}{}
+			g, listeners := newSilentRouter(t, 2, func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-first:
+					writeEvents(w, 1, c.before)
+					_ = http.NewResponseController(w).Flush()
+					close(written)
+					<-r.Context().Done()
+				default:
+					after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+					writeEvents(w, after+1, 4)
+				}
+			})
+			cfg := patientConfig()
+			cfg.Version += 10
+			g.router.ApplyConfig(cfg)
+			responses, started := make(chan callerResponse), time.Now()
+			go func() { responses <- g.send(http.MethodPost, "/resumed/a", "", "T-Deadline", "10000") }()
+			<-written
+			time.Sleep(50 * time.Millisecond)
+			for _, l := range listeners {
+				silence(t, l)
+			}
+			got, took := <-responses, time.Since(started)
+			if want := testEvent(1) + testEvent(2) + testEvent(3) + testEvent(4); !got.complete || got.body != want || took > c.most {
+				t.Errorf("complete %t after %v, body %q, want all within %v", got.complete, took, got.body, c.most)
+			}
+		})
+	}
+}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -75,6 +75,8 @@
 func (x *exchange) forwardStream(ctx context.Context, a *attempt) {
 	defer func() { _ = a.stream.Close() }()
 	x.progress.step(eventStream)
+	watch := x.watchStream(a)
+	defer watch.stop()
 	source := &eventSource{exchange: x, attempt: a, ctx: ctx}
 	stream := &heldStream{Reader: source, hold: &x.hold}
 	defer func() { x.hold.reuse(stream.counted) }()
@@ -101,6 +103,9 @@
 		source.delivered = true
 		if isData {
 			x.recordAnswerBegun(a)
+			if !source.timed {
+				watch.streamBegun()
+			}
 			source.timed = true
 		}
 	}
