--- a/cmd/jackdaw-soak/main.go
+++ b/cmd/jackdaw-soak/main.go
@@ -30,7 +30,7 @@
 
 // run executes the soak test, prints its report and returns the exit code.
 func run() int {
-	program, dir := "target/jackdaw-edge", filepath.Join(os.TempDir(), name)
+	program, dir, faults := "target/jackdaw-edge", filepath.Join(os.TempDir(), name), string(soak.AllFaults)
 	seed, minutes, routers, callers := uint64(time.Now().UnixNano()%100_000), 1.0, 4, 8
 	flaggy.SetName(name)
 	flaggy.SetDescription("Injects faults into routers on loopback and checks what callers and endpoints observe.")
@@ -41,6 +41,7 @@
 	flaggy.Float64(&minutes, "m", "minutes", "How many minutes to inject faults.")
 	flaggy.Int(&routers, "r", "routers", "The number of routers.")
 	flaggy.Int(&callers, "c", "callers", "The number of callers.")
+	flaggy.String(&faults, "f", "faults", "The kinds of faults: all, or stops (planned work beside network faults at the store).")
 	flaggy.Parse()
 
 	logger := slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -48,7 +49,8 @@
 	defer stop()
 	report, err := soak.Run(ctx, soak.Options{
 		RouterPath: program, Seed: seed, FaultCount: int(minutes * 60 / meanSecondsBetweenFaults), RouterCount: routers, CallerCount: callers,
-		Dir: filepath.Join(dir, strconv.FormatUint(seed, 10)),
+		Faults: soak.Faults(faults),
+		Dir:    filepath.Join(dir, strconv.FormatUint(seed, 10)),
 	})
 	if err != nil {
 		logger.Error("soak test could not run", "seed", seed, "error", err.Error())
