--- a/cmd/jackdaw-soak/main.go
+++ b/cmd/jackdaw-soak/main.go
@@ -58,6 +58,8 @@
 	}
 	fmt.Printf("seed %d: %d requests, %d answered, %d runs, %d tokens, %d problems\n",
 		seed, report.Requests, report.Completed, report.Runs, report.TokensSpent, len(report.Violations))
+	fmt.Printf("  statuses (0: none): %v\n", report.Statuses)
+	fmt.Printf("  without a complete response, no problem: %+v\n", report.Unanswered)
 	for _, violation := range report.Violations {
 		fmt.Println("  " + violation)
 	}
