A response has a second to be written, also if it begins just in time

Cause: a response that began before the request's deadline kept the write deadline of 0.3 s after it. A router whose processor is saturated may be held up for longer between the first step of the writing and the last.

The writing of a response now has a second at least.

--- a/direct/serve.go
+++ b/direct/serve.go
@@ -25,6 +25,10 @@
 	// still be written to a slow caller.
 	writeSlack = 300 * time.Millisecond
 
+	// minWriteTime is the time that the writing of a response has at least, also if it begins
+	// late. A router whose processor is saturated may be held up between two steps of it.
+	minWriteTime = time.Second
+
 	// noConfigRetryAfter is the retry-after delay while the process has no
 	// configuration: the time that it takes to read one.
 	noConfigRetryAfter = 300 * time.Millisecond
@@ -164,14 +168,14 @@
 	return nil
 }
 
-// extendWriteDeadline gives a response that begins after the request's deadline the time to be
-// written: the router may have been held up, or the body have come late.
+// extendWriteDeadline gives a response that begins near the request's deadline or after it the time
+// to be written: the router may have been held up, or the body have come late.
 func (x *exchange) extendWriteDeadline() {
-	now := time.Now()
-	if x.headSent || x.deadline.IsZero() || now.Before(x.deadline) {
+	least := time.Now().Add(minWriteTime)
+	if x.headSent || x.deadline.IsZero() || least.Before(x.deadline.Add(writeSlack)) {
 		return
 	}
-	if err := x.responseController().SetWriteDeadline(now.Add(writeSlack)); err != nil {
+	if err := x.responseController().SetWriteDeadline(least); err != nil {
 		x.router.logger.Debug("no write deadline for a late response", "request", x.meta.ID, "error", err.Error())
 	}
 }
