--- a/direct/silence.go
+++ b/direct/silence.go
@@ -135,6 +135,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(first, w.check)
+	if w.stopped = a.conn == nil; w.stopped {
+		w.timer.Stop()
+	}
 	return w
 }
 
