A stream that can't go on elsewhere isn't left over a silent link

What a caller would see: a stream on a route that allows resumption, whose events have no numbers, broken off after 2.9 s of a silent link, though it can't be resumed; on a route without resumption it outlasts the same gap of 3.3 s. The watch of a stream's connection now looks at whether the stream may go on after what was delivered.

TestAStreamThatCanNotGoOnElsewhereOutlastsALinkThatComesBack fails without the change (/unnumbered/a: broken off).

--- a/direct/silence.go
+++ b/direct/silence.go
@@ -85,8 +85,8 @@
 }
 
 // silenceWatch looks at the connection of an attempt until its response begins, and to the end of a
-// stream. An endpoint may be silent for long while it works, so only what the kernel of its VM doesn't acknowledge tells that
-// the connection is silent.
+// stream. An endpoint may be silent for long while it works, so only what the kernel of its VM
+// doesn't acknowledge tells that the connection is silent.
 //
 // It answers connections that fall silent for good, all in one moment, while new ones work: each
 // kept one would take the whole time of one more request.
@@ -94,8 +94,9 @@
 	exchange *exchange
 	attempt  *attempt
 	sentAt   time.Time
-	// mayLeave is set if the request may be sent again before its deadline.
-	mayLeave bool
+	// allowed is set if the route allows another attempt, and mayLeave if the request may be sent
+	// again now.
+	allowed, mayLeave bool
 	// unprobed is the time without a packet from which a connection that is probed is silent.
 	unprobed time.Duration
 
@@ -127,13 +128,21 @@
 	}
 }
 
+// setMayLeave records whether the stream may go on elsewhere after the events that were delivered.
+func (w *silenceWatch) setMayLeave(mayResume bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mayLeave = mayResume && w.allowed
+}
+
 func (x *exchange) startWatch(a *attempt, first, unprobed time.Duration) *silenceWatch {
 	w := &silenceWatch{
 		exchange: x, attempt: a, sentAt: time.Now(), unprobed: unprobed,
-		mayLeave: (x.progress.repeatable || x.progress.resumable) && x.deliveredAttempts+1 < x.route.MaxEndpoints,
+		allowed: (x.progress.repeatable || x.progress.resumable) && x.deliveredAttempts+1 < x.route.MaxEndpoints,
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.mayLeave = w.allowed
 	w.timer = time.AfterFunc(first, w.check)
 	if w.stopped = a.conn == nil; w.stopped {
 		w.timer.Stop()
--- a/direct/silentconn_test.go
+++ b/direct/silentconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -256,3 +258,70 @@
 		})
 	}
 }
+
+// dropFor makes the kernel drop what arrives on a connection for a time.
+func dropFor(t *testing.T, conn net.Conn, d time.Duration) {
+	if err := silentnet.DropArrivals(conn); err != nil {
+		t.Error(err)
+	}
+	time.AfterFunc(d, func() {
+		raw, _ := conn.(syscall.Conn).SyscallConn()
+		_ = raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_DETACH_FILTER, 0)
+		})
+	})
+}
+
+// Guards against a stream that is broken off because its link was away, though it can't go on elsewhere.
+func TestAStreamThatCanNotGoOnElsewhereOutlastsALinkThatComesBack(t *testing.T) {
+	for _, path := range []string{"/stream/a", "/streamrep/a", "/resumed/a", "/unnumbered/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			g, _ := newSilentRouter(t, 0, nil)
+			cfg := testConfig()
+			cfg.Version = 50
+			for i := range cfg.Routes {
+				cfg.Routes[i].Timeout = 12 * time.Second
+			}
+			rep := cfg.Routes[2]
+			rep.Name, rep.Prefix, rep.Repeatable, rep.MaxEndpoints = "streamrep", "/streamrep/", true, 2
+			unnumbered := cfg.Routes[3]
+			unnumbered.Name, unnumbered.Prefix = "unnumbered", "/unnumbered/"
+			cfg.Routes = append(cfg.Routes, rep, unnumbered)
+			g.router.ApplyConfig(cfg)
+			id := func(n int) string {
+				if path == "/unnumbered/a" {
+					return fmt.Sprintf("id: x%d\ndata: x\n\n", n)
+				}
+				return testEvent(n)
+			}
+			for _, name := range []string{"a", "b"} {
+				g.router.PutEndpoint(rawEndpoint(t, name, func(conn net.Conn, requests *bufio.Reader) {
+					req, err := http.ReadRequest(requests)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					after := 0
+					_, _ = fmt.Sscan(req.Header.Get("Last-Event-Id"), &after)
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Signed: x\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("T-Id"))
+					for n := after + 1; n <= 4; n++ {
+						if n == 3 && after == 0 {
+							time.Sleep(100 * time.Millisecond)
+							dropFor(t, conn, 3300*time.Millisecond)
+							time.Sleep(3600 * time.Millisecond)
+						}
+						_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(id(n)), id(n))
+					}
+					_, _ = io.WriteString(conn, "0\r\n\r\n")
+				}))
+			}
+			started := time.Now()
+			got := g.send(http.MethodPost, path, "", "T-Deadline", "10000")
+			if !got.complete {
+				t.Errorf("%s: broken off after %v", path, time.Since(started))
+			}
+		})
+	}
+}
+
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -77,6 +77,7 @@
 	x.progress.step(eventStream)
 	watch := x.watchStream(a)
 	defer watch.stop()
+	unnumbered := false
 	source := &eventSource{exchange: x, attempt: a, ctx: ctx}
 	stream := &heldStream{Reader: source, hold: &x.hold}
 	defer func() { x.hold.reuse(stream.counted) }()
@@ -106,6 +107,10 @@
 			if !source.timed {
 				watch.streamBegun()
 			}
+			if x.unnumbered != unnumbered || !source.timed {
+				unnumbered = x.unnumbered
+				watch.setMayLeave(x.mayResume())
+			}
 			source.timed = true
 		}
 	}
