A stop with a short grace answers what is in flight, too

What callers would see with a grace under 3.5 s: requests in flight got a closed connection 2.5 s after SIGTERM, as the listener stays open for that long and the requests end before; with 1 and 2 s the process outlasted its grace.

The listener closes when the requests end at the latest, and the return of grants ends 0.1 s before the kill.

--- a/direct/drain.go
+++ b/direct/drain.go
@@ -57,7 +57,7 @@
 
 // newTimetable returns the timetable of a router that was asked to stop at a moment.
 func newTimetable(asked time.Time, grace time.Duration) shutdown.Timetable {
-	return shutdown.NewTimetable(asked, grace, balancerDelay, settleTimeout+grantReturnTime+processExitTime)
+	return shutdown.NewTimetable(asked, grace, balancerDelay, settleTimeout+grantReturnTime+processExitTime, processExitTime)
 }
 
 // recordDuration records how long a request on a route took. Those that are ended by their deadline
@@ -79,6 +79,15 @@
 	return d.durations.Mean(time.Now(), route)
 }
 
+// returnContext returns the context of the return of grants.
+func (d *drainState) returnContext() (context.Context, context.CancelFunc) {
+	end := time.Now().Add(grantReturnTime)
+	if timetable := d.timetable.Load(); timetable != nil && timetable.Exit.Before(end) {
+		end = timetable.Exit
+	}
+	return context.WithDeadline(context.Background(), end)
+}
+
 // hasEnded reports whether the requests in flight were ended because the process stops.
 func (d *drainState) hasEnded() bool { return d.requestsEnd.Err() != nil }
 
--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -432,3 +432,30 @@
 		t.Errorf("read %d bytes, %v", n, err)
 	}
 }
+
+// Guards against a shutdown grace that is too short for the steps of a stop.
+func TestProofARequestIsAnsweredWhateverTheGrace(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 3 * time.Second, 3400 * time.Millisecond, 4 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			g := runRouter(t, grace, runUntilCancelled)
+			answers := make(chan stopResponse, 3)
+			for _, path := range []string{"/book/a", "/read/a", "/stream/a"} {
+				go func() { answers <- g.call(nil, path, "30000") }()
+			}
+			eventually(t, "the requests run", func() bool { return g.runs() == cap(answers) })
+			asked := time.Now()
+			g.stop()
+			for range cap(answers) {
+				got := <-answers
+				if got.status != http.StatusGatewayTimeout || time.Since(asked) > grace {
+					t.Errorf("%s after the request to stop: %+v, want 504 within the grace", time.Since(asked), got)
+				}
+			}
+			<-g.stopped
+			if took := time.Since(asked); took > grace {
+				t.Errorf("stopped after %s", took)
+			}
+		})
+	}
+}
--- a/direct/router.go
+++ b/direct/router.go
@@ -224,7 +224,7 @@
 	r.fleetCredit.close()
 	stopTasks()
 	tasks.Wait()
-	returnCtx, cancel := context.WithTimeout(context.Background(), grantReturnTime)
+	returnCtx, cancel := r.drain.returnContext()
 	defer cancel()
 	r.credit.ReturnGrants(returnCtx)
 	_ = readinessServer.Close()
--- a/direct/silentconn_test.go
+++ b/direct/silentconn_test.go
@@ -324,4 +324,3 @@
 		})
 	}
 }
-
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -14,8 +14,8 @@
 	// CloseListener is when no more connections are accepted.
 	CloseListener time.Time
 	// EndRequests is when the requests in flight are ended, and CloseConnections when their
-	// responses must have been written.
-	EndRequests, CloseConnections time.Time
+	// responses must have been written. Exit is when all that follows must have ended.
+	EndRequests, CloseConnections, Exit time.Time
 }
 
 // responseTime is the time for the responses of the requests that are ended. On a VM with a
@@ -23,12 +23,13 @@
 const responseTime = 100 * time.Millisecond
 
 // NewTimetable returns the timetable of a process that was asked to stop at a moment and is
-// killed after the grace. The last part of the grace is reserved for what follows the requests.
-// With a short grace, half of it is left for them.
-func NewTimetable(asked time.Time, grace, listen, reserved time.Duration) Timetable {
+// killed after the grace. The last part of the grace is reserved for what follows the requests, and
+// the end of that for the exit. With a short grace, half of it is left for the requests.
+func NewTimetable(asked time.Time, grace, listen, reserved, exit time.Duration) Timetable {
 	requests := max(grace-reserved-responseTime, grace/2)
 	return Timetable{
-		Asked: asked, CloseListener: asked.Add(listen), EndRequests: asked.Add(requests), CloseConnections: asked.Add(requests + responseTime),
+		Asked: asked, CloseListener: asked.Add(min(listen, requests)),
+		EndRequests: asked.Add(requests), CloseConnections: asked.Add(requests + responseTime), Exit: asked.Add(grace - exit),
 	}
 }
 
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -11,12 +11,13 @@
 	grace    = 8 * time.Second
 	listen   = 2500 * time.Millisecond
 	reserved = 900 * time.Millisecond
+	exit     = 100 * time.Millisecond
 )
 
 func TestStepsOfAShutdownFitIntoTheGrace(t *testing.T) {
 	asked := time.Unix(1000, 0)
 	for _, grace := range []time.Duration{grace, 20 * time.Second} {
-		table := NewTimetable(asked, grace, listen, reserved)
+		table := NewTimetable(asked, grace, listen, reserved, exit)
 		if end := table.EndRequests.Sub(asked); end < grace*5/6 {
 			t.Errorf("with a grace of %s, requests are ended after %s", grace, end)
 		}
@@ -24,14 +25,14 @@
 			t.Errorf("with a grace of %s, the steps are due at %+v", grace, table)
 		}
 	}
-	if short := NewTimetable(asked, time.Second, listen, reserved); short.EndRequests.Sub(asked) != time.Second/2 {
-		t.Errorf("with a grace of a second, requests are ended after %s", short.EndRequests.Sub(asked))
+	if short := NewTimetable(asked, time.Second, listen, reserved, exit); short.EndRequests.Sub(asked) != time.Second/2 || short.CloseListener.After(short.EndRequests) {
+		t.Errorf("with a grace of a second, the steps are due at %+v", short)
 	}
 }
 
 func TestARequestIsTakenOnlyIfItIsExpectedToEndInTime(t *testing.T) {
 	asked := time.Unix(1000, 0)
-	table := NewTimetable(asked, grace, listen, reserved)
+	table := NewTimetable(asked, grace, listen, reserved, exit)
 	for name, c := range map[string]struct {
 		after, timeout, usual time.Duration
 		want                  bool
