A request whose body is slow is answered when the router stops

What a caller saw: unexpected EOF 3.1 s after SIGTERM (grace 4 s), as the read of its body isn't bound to the end of the requests. It now ends with them: 503, not run.

--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -459,3 +459,16 @@
 		})
 	}
 }
+
+// Guards against a request whose body comes slowly and that the end of a stop cuts off.
+func TestProofARequestWhoseBodyIsSlowIsAnsweredWhenTheRouterStops(t *testing.T) {
+	t.Parallel()
+	g := runRouter(t, 4*time.Second, func(http.ResponseWriter, *http.Request) {})
+	caller := g.dial()
+	caller.write(t, "POST /book/a HTTP/1.1\r\nHost: h.example\r\nT-Id: r2\r\nT-Key: "+testKey+"\r\nT-Deadline: 30000\r\nContent-Length: 4\r\n\r\nbo")
+	time.Sleep(200 * time.Millisecond)
+	g.stop()
+	if resp, complete := caller.read(t); resp == nil || resp.StatusCode != http.StatusServiceUnavailable || !complete {
+		t.Errorf("response %+v, complete %v, want a whole 503", resp, complete)
+	}
+}
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -146,6 +146,7 @@
 	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return refusal.NotRun(refusal.CauseInternal, "no read deadline").WithError(err)
 	}
+	defer context.AfterFunc(x.router.drain.requestsEnd, func() { _ = control.SetReadDeadline(time.Now()) })()
 	limit := x.config.limits.MaxBodyBytes
 	body, err := x.hold.readBounded(http.MaxBytesReader(x.writer, x.request.Body, limit), bodyBound(limit, x.request.ContentLength), x.hold.growNew)
 	var tooLarge *http.MaxBytesError
@@ -158,6 +159,9 @@
 	if errors.As(err, &tooLarge) {
 		return refusal.NotRun(refusal.CauseRequestTooLarge, "the body exceeds %d bytes", limit)
 	}
+	if err != nil && x.router.drain.hasEnded() {
+		return x.stoppedRefusal(true).WithError(err)
+	}
 	if err != nil {
 		return refusal.NotRun(refusal.CauseMalformedRequest, "the body broke off").WithError(err)
 	}
@@ -182,7 +186,7 @@
 
 // boundUnreadBody bounds the time that a body takes which a refusal leaves unread.
 func (x *exchange) boundUnreadBody() {
-	if x.request.ContentLength == 0 || x.body != nil {
+	if x.request.ContentLength == 0 || x.body != nil || x.router.drain.hasEnded() {
 		return
 	}
 	if err := x.responseController().SetReadDeadline(time.Now().Add(refusedBodyTimeout)); err != nil {
