A panic leaves no place of an endpoint taken, and no stream that looks complete

After five panics five requests counted as open at their endpoint; an HTTP/1.0 caller whose stream panicked met the regular end of its connection.

The panic's refusal gives the choice of the attempt back and resets such a connection. TestAPanicLeavesNoRequestOpenAtItsEndpoint, TestAPanicWithinAStreamIsResetForHTTP10Callers (EOF before).

--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -452,7 +452,9 @@
 					t.Errorf("%s after the request to stop: %+v, want 504 within the grace", time.Since(asked), got)
 				}
 			}
-			<-g.stopped
+			if err := <-g.stopped; err != nil {
+				t.Error(err)
+			}
 			if took := time.Since(asked); took > grace {
 				t.Errorf("stopped after %s", took)
 			}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -56,6 +56,8 @@
 	// leftSilent are those of them whose connection fell silent.
 	leftSilent  []string
 	lastAttempt *attempt
+	// openChoice is the choice of the attempt in progress, nil if there is none.
+	openChoice *routing.PromptChoice
 	// quarantined is set when the request has crashed too many endpoints.
 	quarantined bool
 
@@ -111,6 +113,7 @@
 			x.excluded = append(x.excluded, choice.Endpoint.ID)
 			continue
 		}
+		x.openChoice = &choice
 		x.progress.step(eventSend)
 		x.router.metrics.attempts.Inc(1)
 		a := x.startAttempt(ctx, choice)
@@ -121,6 +124,7 @@
 		}
 		a.timer.stop()
 		x.endConn(a)
+		x.openChoice = nil
 		x.router.recordAttempt(choice, a)
 		x.logAttempt(a)
 		x.quarantined = x.recordCrash(a).Quarantined()
--- a/direct/panics.go
+++ b/direct/panics.go
@@ -22,6 +22,10 @@
 			panic(cause)
 		}
 		x.router.logger.Error("request handling panicked", "request", x.meta.ID, "panic", cause, "stack", string(debug.Stack()))
+		if x.openChoice != nil {
+			x.router.cancelPick(*x.openChoice)
+		}
+		x.resetBrokenResponse()
 		x.mayHaveRun = x.mayHaveRun || x.progress.state != stateUnsent
 		err = refusal.MayHaveRun(refusal.CauseInternal, "unexpected failure").WithError(errors.Errorf("panic: %v", cause))
 	}()
--- a/direct/panics_test.go
+++ b/direct/panics_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 )
 
 // panickingProtocol panics at a header of a request or of a response.
@@ -45,3 +50,45 @@
 		}
 	}
 }
+
+// Guards against places of an endpoint that a panic leaves taken.
+func TestAPanicLeavesNoRequestOpenAtItsEndpoint(t *testing.T) {
+	g := newTestRouter(t, 1, func(w http.ResponseWriter, _ *http.Request) {
+		if w.Header().Get("T-Endpoint") == "" {
+			w.Header().Set("T-Panic", "1")
+		}
+	})
+	g.awaitGrant()
+	g.router.opts.Protocol = panickingProtocol{}
+	for range 5 {
+		g.send(http.MethodPost, "/book/a", "x", "T-Prompt", "10", "T-Output", "20")
+	}
+	choice, err := g.router.pick((&exchange{router: g.router, service: "s", config: g.router.config.Load()}).pickerQuery())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if choice.InFlight > 1 {
+		t.Errorf("%d requests open at the endpoint, none is", choice.InFlight)
+	}
+}
+
+// Guards against a stream that looks complete to an HTTP/1.0 caller because the router panicked in it.
+func TestAPanicWithinAStreamIsResetForHTTP10Callers(t *testing.T) {
+	n := 0
+	g := newTestRouter(t, 2, func(w http.ResponseWriter, _ *http.Request) {
+		if n++; n == 1 {
+			writeEvents(w, 1, 2)
+			time.Sleep(100 * time.Millisecond)
+			resetConnection(w)
+			return
+		}
+		w.Header().Set("T-Panic", "1")
+	})
+	g.router.opts.Protocol = panickingProtocol{}
+	conn := dialCaller(t, g.server.Listener.Addr().String())
+	_, _ = fmt.Fprintf(conn, "GET /resumed/a HTTP/1.0\r\nHost: h.example\r\nT-Id: r1\r\nT-Key: %s\r\n\r\n", testKey)
+	got, err := io.ReadAll(conn)
+	if !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("error %v after %q, want a reset", err, got)
+	}
+}
--- a/direct/silence.go
+++ b/direct/silence.go
@@ -97,6 +97,8 @@
 	// allowed is set if the route allows another attempt, and mayLeave if the request may be sent
 	// again now.
 	allowed, mayLeave bool
+	// begun is set once data was delivered, and unnumbered if the last data had no number.
+	begun, unnumbered bool
 	// unprobed is the time without a packet from which a connection that is probed is silent.
 	unprobed time.Duration
 
@@ -117,7 +119,20 @@
 	return x.startWatch(a, probeDelay, unprobedTime)
 }
 
-// streamBegun records the first data of the stream, after which callers wait for less long.
+// dataDelivered records that data of the stream was delivered. The exchange calls it.
+func (w *silenceWatch) dataDelivered() {
+	isFirst := !w.begun
+	if isFirst {
+		w.begun = true
+		w.streamBegun()
+	}
+	if unnumbered := w.exchange.unnumbered; isFirst || unnumbered != w.unnumbered {
+		w.unnumbered = unnumbered
+		w.setMayLeave(w.exchange.mayResume())
+	}
+}
+
+// streamBegun makes the watch wait for less long, as callers do after the first data.
 func (w *silenceWatch) streamBegun() {
 	unprobed := time.Duration(patienceShare * float64(w.attempt.timer.limit))
 	w.mu.Lock()
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -77,7 +77,6 @@
 	x.progress.step(eventStream)
 	watch := x.watchStream(a)
 	defer watch.stop()
-	unnumbered := false
 	source := &eventSource{exchange: x, attempt: a, ctx: ctx}
 	stream := &heldStream{Reader: source, hold: &x.hold}
 	defer func() { x.hold.reuse(stream.counted) }()
@@ -104,13 +103,7 @@
 		source.delivered = true
 		if isData {
 			x.recordAnswerBegun(a)
-			if !source.timed {
-				watch.streamBegun()
-			}
-			if x.unnumbered != unnumbered || !source.timed {
-				unnumbered = x.unnumbered
-				watch.setMayLeave(x.mayResume())
-			}
+			watch.dataDelivered()
 			source.timed = true
 		}
 	}
