A router that is held up at the end of a stop still answers

The time to write the last responses ended at a fixed moment, 0.1 s after the requests.

The time is 0.3 s from the moment at which the requests are ended, up to 0.1 s before the kill; requests end at 6.8 s of 8 (7.0 before), which is still in the last sixth. Answered ones don't wait for it.

--- a/direct/drain.go
+++ b/direct/drain.go
@@ -152,7 +152,7 @@
 		r.logger.Warn("requests in flight ended near the end of the shutdown grace", "requests", busy, "connections", left)
 	}
 	r.drain.endRequests()
-	more, left, busy := r.awaitCallers(listener, timetable.CloseConnections, func(_, busy int) bool { return busy == 0 })
+	more, left, busy := r.awaitCallers(listener, timetable.CloseConnectionsAfter(time.Now()), func(_, busy int) bool { return busy == 0 })
 	r.logger.Info("callers drained", "connections_closed_unused", closed+more, "connections_cut", left, "requests_cut", busy)
 	r.drain.cutOff.Store(true)
 	_ = callerServer.Close()
--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -474,3 +474,35 @@
 		t.Errorf("response %+v, complete %v, want a whole 503", resp, complete)
 	}
 }
+
+// Guards against requests that are cut off without an answer because the process was held up as they were ended.
+func TestProofAHeldUpRouterStillAnswersAtTheEndOfAStop(t *testing.T) {
+	g := runRouter(t, 4*time.Second, runUntilCancelled)
+	l := listenOnLoopback(t)
+	callers := g.router.overload.traffic.listen(l)
+	server := &http.Server{Handler: g.router, ConnState: callers.trackState}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(callers)
+	}()
+	g.address = l.Addr().String()
+	answers := make(chan stopResponse, 3)
+	for _, path := range []string{"/book/a", "/read/a", "/stream/a"} {
+		go func() { answers <- g.call(nil, path, "30000") }()
+	}
+	eventually(t, "the requests run", func() bool { return g.runs() == cap(answers) })
+	asked := time.Now()
+	go g.router.drainCallers(server, callers, served)
+	timetable := newTimetable(asked, 4*time.Second)
+	time.Sleep(time.Until(timetable.EndRequests.Add(-100 * time.Millisecond)))
+	callers.mu.Lock()
+	time.Sleep(time.Until(timetable.CloseConnections.Add(100 * time.Millisecond)))
+	callers.mu.Unlock()
+	for range cap(answers) {
+		got := <-answers
+		if got.status != http.StatusGatewayTimeout {
+			t.Errorf("%s after the request to stop: %+v, want 504", time.Since(asked), got)
+		}
+	}
+}
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -18,9 +18,10 @@
 	EndRequests, CloseConnections, Exit time.Time
 }
 
-// responseTime is the time for the responses of the requests that are ended. On a VM with a
-// share of a core, a few hundred of them take some tens of milliseconds.
-const responseTime = 100 * time.Millisecond
+// responseTime is the time for the responses of the requests that are ended: some tens of
+// milliseconds for a few hundred of them on a VM with a share of a core, which may get none of it
+// for a tenth of a second.
+const responseTime = 300 * time.Millisecond
 
 // NewTimetable returns the timetable of a process that was asked to stop at a moment and is
 // killed after the grace. The last part of the grace is reserved for what follows the requests, and
@@ -33,6 +34,19 @@
 	}
 }
 
+// CloseConnectionsAfter returns when the connections are to be closed if the requests are ended now,
+// which may be late: their responses get the same time, up to Exit.
+func (t Timetable) CloseConnectionsAfter(ended time.Time) time.Time {
+	at := ended.Add(responseTime)
+	if at.After(t.Exit) {
+		at = t.Exit
+	}
+	if at.Before(t.CloseConnections) {
+		at = t.CloseConnections
+	}
+	return at
+}
+
 // Takes reports whether a request that arrives now is expected to end before EndRequests: by its
 // deadline, or by the time that requests of its kind take, which is 0 if it isn't known.
 func (t Timetable) Takes(now, deadline time.Time, expected time.Duration) bool {
