A settlement that comes while the settler closes starts no sender

A request that is cut off at the end of a stop may be settled just as the settler waits for its senders; another one then began, and the process could panic (WaitGroup is reused before previous Wait has returned), with its grants not returned. What comes after the stop is dropped and counted; the holder counts the reservation in full.

--- a/direct/settler.go
+++ b/direct/settler.go
@@ -43,12 +43,13 @@
 	senders sync.WaitGroup
 }
 
-// add sends a settlement to a holder soon.
+// add sends a settlement to a holder soon. After the stop no sender begins; what comes then is
+// counted in full by the holder.
 func (s *settler) add(holder prepaid.ProcessID, settlement *pb.CreditSettlement) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	waiting, sending := s.pending[holder]
-	if len(waiting) >= maxPendingSettlements {
+	if len(waiting) >= maxPendingSettlements || !sending && s.stopped() {
 		s.dropped.Inc(1)
 		return
 	}
@@ -147,6 +148,8 @@
 
 // close sends what is pending once and returns when all senders have ended.
 func (s *settler) close() {
+	s.mu.Lock()
 	close(s.stop)
+	s.mu.Unlock()
 	s.senders.Wait()
 }
