Requests on silent connections wait for the retry budget

All requests under way want to be sent again in the moment in which their connections are found silent. Those beyond the retry budget of that moment were given up: they waited on the silent connection and got 504 at their deadline, also with 12 s left and callers that brought new retries all the while. What is sent stays within the budget.

--- a/direct/silence.go
+++ b/direct/silence.go
@@ -105,8 +105,8 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
-	// probed is set once the connection is probed.
-	probed bool
+	// probed is set once the connection is probed, ended once it was found silent.
+	probed, ended bool
 }
 
 // watchSilence starts to watch the connection of an attempt. The caller must call stop.
@@ -211,13 +211,20 @@
 // back.
 func (w *silenceWatch) end(heard time.Duration, by time.Time) {
 	x, a := w.exchange, w.attempt
-	x.router.conns.silent(a.conn, by)
-	w.mayLeave = w.mayLeave && x.router.retries.takeRetry(x.service)
-	x.router.logger.Info("connection to an endpoint fell silent", "request", x.meta.ID, "endpoint", a.choice.Endpoint.ID,
-		"address", a.choice.Endpoint.Address, "unheard_ms", heard.Milliseconds(), "connection_idled_ms", a.connIdled.Milliseconds(), "send_again", w.mayLeave)
-	if w.mayLeave {
+	if !w.ended {
+		w.ended = true
+		x.router.conns.silent(a.conn, by)
+		x.router.logger.Info("connection to an endpoint fell silent", "request", x.meta.ID, "endpoint", a.choice.Endpoint.ID,
+			"address", a.choice.Endpoint.Address, "unheard_ms", heard.Milliseconds(), "connection_idled_ms", a.connIdled.Milliseconds(), "send_again", w.mayLeave)
+	}
+	switch {
+	case !w.mayLeave:
+	case x.router.retries.takeRetry(x.service):
 		a.leftSilent.Store(true)
 		a.timer.cancel(&SilentError{For: heard})
+	default:
+		// All requests under way want a retry in one moment. Later requests bring more.
+		w.timer.Reset(recheckInterval)
 	}
 }
 
--- a/direct/silentconn_test.go
+++ b/direct/silentconn_test.go
@@ -324,3 +324,38 @@
 		})
 	}
 }
+
+// Those beyond the budget of that moment waited for their deadline.
+func TestProofRequestsOnSilentConnectionsAwaitTheRetryBudget(t *testing.T) {
+	const silent = 10
+	g, listeners := newSilentRouter(t, 3, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		answerByPath(w, r)
+	})
+	g.keepConnections()
+	eventually(t, "more connections are kept", func() bool {
+		if g.idleConnections() < silent {
+			g.keepConnections()
+		}
+		return g.idleConnections() >= silent
+	})
+	for _, l := range listeners {
+		silence(t, l)
+	}
+	statuses := make(chan int, silent)
+	for range silent {
+		go func() { statuses <- g.send(http.MethodPost, "/read/a", "x", "T-Deadline", "6000").status }()
+	}
+	eventually(t, "the other connections are closed", func() bool { return g.idleConnections() == 0 })
+	// Each brings 0.15 of a retry.
+	for range 120 {
+		if got := g.send(http.MethodPost, "/read/a", "x"); got.status != http.StatusOK {
+			t.Errorf("a later request got status %d", got.status)
+		}
+	}
+	for range silent {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("a request on a silent connection got status %d", status)
+		}
+	}
+}
