Test of the shorter timeout: read what the endpoint received under its lock

The caller gets a 504 while the endpoint still holds the request, so that nothing orders the endpoint's record before the test's look at it.

The check is as it was.

--- a/direct/router_test.go
+++ b/direct/router_test.go
@@ -262,6 +262,8 @@
 	if got.status != http.StatusGatewayTimeout {
 		t.Fatalf("unexpected response: %+v", got)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if ms, _ := strconv.Atoi(g.requests[0].Header.Get("T-Remaining")); ms > 100 {
 		t.Fatalf("the endpoint received a remaining time of %d ms, want at most 100", ms)
 	}
