A late router doesn't take its own delay for a silent connection

A connection counted as silent 0.4 s after the attempt began. The time counts from the first byte that is sent now.

--- a/direct/settler_test.go
+++ b/direct/settler_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"log/slog"
+	"sync"
 	"testing"
-	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -13,21 +13,28 @@
 	"jackdawswitch/standin"
 )
 
-// Guards against a process that panics at the end of a stop, as a request that was cut off is settled.
-func TestALateSettlementMeetsTheClosingSettler(*testing.T) {
-	for range 200 {
-		g := New(Options{Settings: Settings{VM: "vm", FailureDomain: "fd"}, Incarnation: 7, Network: memnet.New().Host("vm"), Protocol: testProtocol{}, Table: standin.NewTable(), Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope})
-		s := &g.fleetCredit.settler
-		holder := prepaid.ProcessID{VM: "other", Incarnation: 1}
-		done := make(chan struct{})
-		go func() {
-			defer close(done)
-			for i := range 50 {
-				s.add(holder, &pb.CreditSettlement{Reservation: uint64(i + 1)})
-				time.Sleep(time.Microsecond)
-			}
+// Guards against a process that panics at the end of a stop, as requests that were cut off are settled.
+func TestLateSettlementsMeetTheClosingSettler(t *testing.T) {
+	for range 5000 {
+		r := New(Options{
+			Settings: Settings{VM: "vm", FailureDomain: "fd"}, Incarnation: 7, Network: memnet.New().Host("vm"), Protocol: testProtocol{},
+			Table: standin.NewTable(), Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
+		})
+		s := &r.fleetCredit.settler
+		var late sync.WaitGroup
+		for i := range 8 {
+			late.Go(func() {
+				s.add(prepaid.ProcessID{VM: "other", Incarnation: int64(i % 2)}, &pb.CreditSettlement{Reservation: uint64(i + 1)})
+			})
+		}
+		func() {
+			defer func() {
+				if cause := recover(); cause != nil {
+					t.Error(cause)
+				}
+			}()
+			s.close()
 		}()
-		s.close()
-		<-done
+		late.Wait()
 	}
 }
--- a/direct/silence.go
+++ b/direct/silence.go
@@ -18,10 +18,10 @@
 
 	// A request that was acknowledged may be at work for long. After probeDelay without a byte the
 	// connection is probed every probeInterval, and counts as silent if nothing arrives for
-	// unprobedTime: three probes.
+	// unprobedTime: two probes. Then the first endpoint has not worked beside the next one for over 3 s.
 	probeDelay    = 1200 * time.Millisecond
 	probeInterval = time.Second
-	unprobedTime  = 2900 * time.Millisecond
+	unprobedTime  = 2400 * time.Millisecond
 
 	// A stream that has begun is left within patienceShare of the patience of its callers, which
 	// have left it else, but not before one probe had half a second: it is probed after
@@ -91,9 +91,9 @@
 // It answers connections that fall silent for good, all in one moment, while new ones work: each
 // kept one would take the whole time of one more request.
 type silenceWatch struct {
-	exchange *exchange
-	attempt  *attempt
-	sentAt   time.Time
+	exchange  *exchange
+	attempt   *attempt
+	startedAt time.Time
 	// allowed is set if the route allows another attempt, and mayLeave if the request may be sent
 	// again now.
 	allowed, mayLeave bool
@@ -152,7 +152,7 @@
 
 func (x *exchange) startWatch(a *attempt, first, unprobed time.Duration) *silenceWatch {
 	w := &silenceWatch{
-		exchange: x, attempt: a, sentAt: time.Now(), unprobed: unprobed,
+		exchange: x, attempt: a, startedAt: time.Now(), unprobed: unprobed,
 		allowed: (x.progress.repeatable || x.progress.resumable) && x.deliveredAttempts+1 < x.route.MaxEndpoints,
 	}
 	w.mu.Lock()
@@ -184,17 +184,23 @@
 	if !ok {
 		return
 	}
+	sentAt := w.attempt.request.sentAt.Load()
+	if sentAt == nil {
+		// The router itself is late.
+		w.timer.Reset(recheckInterval)
+		return
+	}
 	now := time.Now()
-	heard := min(state.heard, now.Sub(w.sentAt))
+	heard := min(state.heard, now.Sub(w.startedAt), now.Sub(*sentAt))
 	limit := unackedTime + unackedRoundTrips*state.roundTrip
 	switch {
 	case state.unacked && heard < limit:
 		w.timer.Reset(max(limit-heard, recheckInterval))
 	case state.unacked:
-		w.end(heard, w.sentAt)
+		w.end(heard, *sentAt)
 	case !w.mayLeave:
-	case !w.probed && now.Sub(w.sentAt) < streamProbeDelay:
-		w.timer.Reset(probeDelay - now.Sub(w.sentAt))
+	case !w.probed && now.Sub(w.startedAt) < streamProbeDelay:
+		w.timer.Reset(probeDelay - now.Sub(w.startedAt))
 	case !w.probed:
 		w.probed = true
 		_ = conn.(*net.TCPConn).SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount})
--- a/direct/silentconn_test.go
+++ b/direct/silentconn_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -359,3 +361,55 @@
 		}
 	}
 }
+
+// Guards against a connection that counts as silent because the router sent its request late.
+func TestALateSendIsNotTakenForASilentConnection(t *testing.T) {
+	g, _ := newSilentRouter(t, 0, nil)
+	var log bytes.Buffer
+	g.router.logger = slog.New(slog.NewTextHandler(&log, nil))
+	var served atomic.Int32
+	var accepted atomic.Pointer[net.Conn]
+	for _, id := range []string{"a", "b"} {
+		g.router.PutEndpoint(rawEndpoint(t, id, func(conn net.Conn, requests *bufio.Reader) {
+			accepted.Store(&conn)
+			for {
+				requestID, ok := readRequest(requests)
+				if !ok {
+					return
+				}
+				served.Add(1)
+				answer(conn, requestID, "done")
+			}
+		}))
+	}
+	g.send(http.MethodPost, "/read/a", "x")
+	eventually(t, "kept", func() bool { return g.idleConnections() == 1 })
+	time.Sleep(time.Second)
+	conn := *accepted.Load()
+	// A link with a round trip of some 200 ms: what is sent now is acknowledged by a retransmission.
+	dropFor(t, conn, 480*time.Millisecond)
+	g.router.opts.Protocol = &lateSend{g: g}
+	if got := g.send(http.MethodPost, "/read/a", "x", "T-Deadline", "5000"); got.status != http.StatusOK || served.Load() != 2 {
+		t.Errorf("%+v, served %d times, want one more", got, served.Load())
+	}
+	for _, line := range strings.Split(log.String(), "\n") {
+		if strings.Contains(line, "silent") {
+			t.Error(line)
+		}
+	}
+}
+
+// lateSend holds up the first byte of an attempt.
+type lateSend struct {
+	testProtocol
+	g    *testRouter
+	once atomic.Bool
+}
+
+func (p *lateSend) EndpointHeaders(in http.Header, d DispatchMeta) http.Header {
+	if p.once.CompareAndSwap(false, true) {
+		p.g.router.mu.Lock()
+		time.AfterFunc(390*time.Millisecond, p.g.router.mu.Unlock)
+	}
+	return p.testProtocol.EndpointHeaders(in, d)
+}
--- a/direct/streamorder_test.go
+++ b/direct/streamorder_test.go
@@ -119,6 +119,30 @@
 	}
 }
 
+// The endpoint says nothing, but is no longer listed when its response ends.
+func TestAnUnframedResponseOfAnUnlistedEndpointIsComplete(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		g := newTestRouter(t, 0, nil)
+		listener := listenOnLoopback(t)
+		list := []catalog.Endpoint{{ID: "e0", Service: "s", Address: listener.Addr().String()}}
+		g.router.ReplaceEndpoints(list)
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = listener.Close()
+			if !listed {
+				g.router.ReplaceEndpoints(nil)
+			}
+			serveUnframed(conn)
+		}()
+		if got := g.send(http.MethodPost, "/stream/a", "x"); got.status != http.StatusOK || got.complete == listed {
+			t.Errorf("listed: %v: complete: %v, status %d, body %q", listed, got.complete, got.status, got.body)
+		}
+	}
+}
+
 // TestEventsThatComeWithTheBreakAreDelivered guards against events, or a whole answer, that the router keeps: the
 // endpoint ends within a chunk, which is read as a whole.
 func TestEventsThatComeWithTheBreakAreDelivered(t *testing.T) {
--- a/direct/traffic.go
+++ b/direct/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 )
 
 // traffic counts the bytes of a router's connections.
@@ -48,6 +49,8 @@
 	// sending is set once the first byte may have been sent, and answered once a byte was
 	// received after that.
 	sending, answered atomic.Bool
+	// sentAt is when the first byte was sent, nil before.
+	sentAt atomic.Pointer[time.Time]
 }
 
 // Read implements net.Conn.
@@ -69,6 +72,8 @@
 		if err := request.beforeSend(); err != nil {
 			return 0, err
 		}
+		now := time.Now()
+		request.sentAt.Store(&now)
 		request.sending.Store(true)
 	}
 	n, err := c.Conn.Write(b)
