Endpoint connections: an answer doesn't show that a request would arrive

When only one way of the connections falls silent, answers to earlier requests still come. Their connections became idle after the first request was sent on a silent one, were kept as sound, and got the request that was to be sent again: its last attempt, and 504. A connection is now kept only if a request was both sent on it and answered since then.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -197,7 +197,7 @@
 				return nil, false, err
 			}
 		}
-		a.connIdled = a.conn.idled
+		a.connIdled, a.conn.sentAt = a.conn.idled, time.Now()
 		a.request = &sentRequest{beforeSend: func() error { return x.checkBeforeSend(a) }}
 		a.conn.counted.request.Store(a.request)
 		a.conn.counted.reader.Store(a.timer)
--- a/direct/connpool.go
+++ b/direct/connpool.go
@@ -45,8 +45,10 @@
 	finished bool
 	// idleSince is when the connection became idle, zero while it is in use or closed.
 	idleSince time.Time
-	// idled is how long it was idle before its present request, 0 for a new one.
-	idled time.Duration
+	// idled is how long it was idle before its present request, 0 for a new one, and sentAt is when
+	// that one or the last one was sent.
+	idled  time.Duration
+	sentAt time.Time
 	// expiry closes the connection when it was idle for too long.
 	expiry *time.Timer
 }
--- a/direct/silence.go
+++ b/direct/silence.go
@@ -234,15 +234,16 @@
 	}
 }
 
-// silent closes the idle connections to all endpoints that have brought nothing since a time by
-// which a connection had fallen silent: they may have fallen silent with it.
+// silent closes the idle connections to all endpoints on which no request was sent and answered since
+// a time by which a connection had fallen silent: they may have fallen silent with it, also if an
+// answer to an earlier request came since, as one way may be left.
 func (p *connPool) silent(c *endpointConn, by time.Time) {
 	p.mu.Lock()
 	p.silenced.Inc(1)
 	var suspects []*endpointConn
 	for _, conns := range p.idle {
 		for _, other := range conns {
-			if other.idleSince.Before(by) {
+			if other.sentAt.Before(by) {
 				suspects = append(suspects, other)
 			}
 		}
--- a/direct/silentconn_test.go
+++ b/direct/silentconn_test.go
@@ -413,3 +413,33 @@
 	}
 	return p.testProtocol.EndpointHeaders(in, d)
 }
+
+// The answer to a request that had arrived came on a connection that took no other.
+func TestProofAnAnswerDoesNotShowThatItsConnectionTakesRequests(t *testing.T) {
+	arrived, answer := make(chan struct{}), make(chan struct{})
+	g, listeners := newSilentRouter(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/read/held" {
+			close(arrived)
+			<-answer
+		}
+		answerByPath(w, r)
+	})
+	held := make(chan callerResponse)
+	go func() { held <- g.send(http.MethodPost, "/read/held", "x") }()
+	<-arrived
+	g.send(http.MethodPost, "/read/a", "x")
+	eventually(t, "a connection to the other endpoint is kept", func() bool { return g.idleConnections() == 1 })
+	for _, l := range listeners {
+		silence(t, l)
+	}
+	silent := make(chan callerResponse)
+	go func() { silent <- g.send(http.MethodPost, "/read/a", "x", "T-Deadline", "1500") }()
+	eventually(t, "a request is on that connection", func() bool { return g.idleConnections() == 0 })
+	close(answer)
+	if got := <-held; got.status != http.StatusOK {
+		t.Errorf("the held request got status %d", got.status)
+	}
+	if got := <-silent; got.status != http.StatusOK {
+		t.Errorf("a request on a silent connection got status %d, want 200 on a new one", got.status)
+	}
+}
