--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -125,15 +125,20 @@
 	}
 }
 
-func (g *runningRouter) callOnce(client *http.Client, path, deadlineMS string) stopResponse {
+func (g *runningRouter) newRequest(path, deadlineMS string) *http.Request {
 	req, err := http.NewRequest(http.MethodPost, "http://"+g.address+path, strings.NewReader("x"))
 	if err != nil {
-		return stopResponse{err: err}
+		g.t.Fatal(err)
 	}
 	req.Host, req.GetBody = "h.example", nil
 	for name, value := range map[string]string{"T-Id": "r1", "T-Key": testKey, "T-Deadline": deadlineMS} {
 		req.Header.Set(name, value)
 	}
+	return req
+}
+
+func (g *runningRouter) callOnce(client *http.Client, path, deadlineMS string) stopResponse {
+	req := g.newRequest(path, deadlineMS)
 	if client == nil {
 		client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	}
@@ -294,15 +299,17 @@
 		_, _ = io.WriteString(w, "done")
 	})
 	client := &http.Client{Transport: &http.Transport{}}
-	answer := make(chan stopResponse, 1)
-	go func() { answer <- g.call(client, "/stream/a", "30000") }()
-	eventually(t, "the stream runs", func() bool { return g.runs() == 1 })
-	g.stop()
+	resp, err := client.Do(g.newRequest("/stream/a", "30000"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
 	// The response that says that the connection is kept was written before the stop.
+	g.stop()
 	time.Sleep(balancerDelay + 200*time.Millisecond)
 	close(finish)
-	if got := <-answer; got.bodyErr != nil || got.closes {
-		t.Fatalf("the stream: %+v", got)
+	if _, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != http.StatusOK || resp.Close {
+		t.Fatalf("the stream: %+v, %v", resp, err)
 	}
 	time.Sleep(callerIdleTime * 3 / 4)
 	if got := g.call(client, "/read/a", "500"); got.body != "done" || !got.closes {
