--- a/router/callers/callers.go
+++ b/router/callers/callers.go
@@ -10,10 +10,12 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"time"
 
 	"github.com/kataras/iris/v12"
+	irisctx "github.com/kataras/iris/v12/context"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
@@ -93,7 +95,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(s.opts.Logger.Handler(), slog.LevelDebug),
+		ErrorLog:          slog.NewLogLogger(s.opts.Logger.Handler(), slog.LevelWarn),
 		BaseContext:       func(net.Listener) context.Context { return requestCtx },
 	}
 	served := make(chan error, 1)
@@ -139,16 +141,36 @@
 			service:    ctx.Params().Get("service"),
 			path:       "/" + strings.TrimPrefix(ctx.Params().Get("path"), "/"),
 		}
-		err := serve(x)
+		err := s.serve(x, serve)
 		if err == nil {
 			return
 		}
+		if ctx.ResponseWriter().Written() != irisctx.NoWritten {
+			panic(http.ErrAbortHandler)
+		}
 		rerr := refusal.FromError(err)
 		s.recordRefusal(x, rerr)
 		writeErrorResponse(x.writer, x.id, rerr)
 	}
 }
 
+// serve handles one request. A panic becomes its error, so that the caller gets an answer and the
+// log has the cause.
+func (s *Server) serve(x *exchange, serve func(*exchange) error) (err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if aborted, ok := cause.(error); ok && errors.Is(aborted, http.ErrAbortHandler) {
+			panic(cause)
+		}
+		s.opts.Logger.Error("request handling panicked", "request", x.id, "panic", cause, "stack", string(debug.Stack()))
+		err = refusal.MayHaveRun(refusal.CauseInternal, "unexpected failure").WithError(errors.Errorf("panic: %v", cause))
+	}()
+	return serve(x)
+}
+
 // recordRefusal counts and logs a refusal.
 func (s *Server) recordRefusal(x *exchange, rerr *refusal.Error) {
 	s.opts.Metrics.Tagged(map[string]string{"cause": string(rerr.Cause)}).Counter("refusals").Inc(1)
