A stopping router takes by estimate only until its listener closes

What a caller saw: a stream that was sent 4.6 s after SIGTERM, on a kept connection, was taken as streams of its route usually end in time, and cut off at 6.8 s.

Test: the case "short requests after the listener closed", which failed before (taken).

--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -48,12 +48,14 @@
 }
 
 // Takes reports whether a request that arrives now is expected to end before EndRequests: by its
-// deadline, or by the time that requests of its kind take, which is 0 if it isn't known.
+// deadline, or by the time that requests of its kind take, which is 0 if it isn't known. Only the
+// deadline counts once the listener is closed: callers had the time to go elsewhere, and an estimate
+// may be wrong.
 func (t Timetable) Takes(now, deadline time.Time, expected time.Duration) bool {
 	if !deadline.After(t.EndRequests) {
 		return true
 	}
-	return expected > 0 && !now.Add(expected).After(t.EndRequests)
+	return expected > 0 && now.Before(t.CloseListener) && !now.Add(expected).After(t.EndRequests)
 }
 
 const (
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -54,6 +54,7 @@
 		"long deadline, short requests":            {after: 2 * time.Second, timeout: 12 * time.Second, usual: time.Second, want: true},
 		"long deadline, requests take the rest":    {after: 2 * time.Second, timeout: 12 * time.Second, usual: 4800 * time.Millisecond, want: true},
 		"long deadline, requests take longer":      {after: 2 * time.Second, timeout: 12 * time.Second, usual: 4900 * time.Millisecond, want: false},
+		"short requests after the listener closed": {after: 4600 * time.Millisecond, timeout: 10 * time.Second, usual: time.Second, want: false},
 		"short requests at the end":                {after: 6700 * time.Millisecond, timeout: 12 * time.Second, usual: 200 * time.Millisecond, want: false},
 		"deadline at the end":                      {after: 5800 * time.Millisecond, timeout: time.Second, want: true},
 		"deadline after the end, long after start": {after: 7300 * time.Millisecond, timeout: time.Second, usual: 10 * time.Millisecond, want: false},
