--- a/quickstart/layout.go
+++ b/quickstart/layout.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -82,13 +84,24 @@
 // so that no port is allocated twice.
 type portAllocator struct{ listeners []net.Listener }
 
+// The ports lie below those that systems give to outgoing connections, one of which could take a
+// port between its release and its use.
+const (
+	firstPort, portCount = 12_000, 18_000
+	maxPortTries         = 100
+)
+
 func (p *portAllocator) allocate() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.WithStack(&PortError{Err: err})
+	var listener net.Listener
+	var err error
+	for range maxPortTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(portCount)))
+		if listener, err = net.Listen("tcp", address); err == nil {
+			p.listeners = append(p.listeners, listener)
+			return address, nil
+		}
 	}
-	p.listeners = append(p.listeners, listener)
-	return listener.Addr().String(), nil
+	return "", errors.WithStack(&PortError{Err: err})
 }
 
 func (p *portAllocator) release() {
