--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -49,8 +50,10 @@
 	name    string
 	program string
 	args    []string
-	cmd     *exec.Cmd
-	done    chan struct{}
+	// maxFds is the kernel's limit on the descriptors of the process; 0 for that of the test.
+	maxFds int
+	cmd    *exec.Cmd
+	done   chan struct{}
 }
 
 // fleet is a set of routers and agents that run as separate processes, with the
@@ -60,6 +63,7 @@
 	dir      string
 	layout   *quickstart.Layout
 	standins *quickstart.Standins
+	maxFds   int
 	routers  []*process
 	agents   []*process
 }
@@ -70,6 +74,8 @@
 	routers, agents int
 	tokenTime       time.Duration
 	edit            func(*config.Document)
+	// maxFds is the kernel's limit on the descriptors of each process; 0 for that of the test.
+	maxFds int
 }
 
 // startFleet starts a fleet and waits until it is ready.
@@ -80,7 +86,7 @@
 	standins, err := quickstart.StartStandins(layout, opts.tokenTime)
 	check(t, err)
 	t.Cleanup(func() { _ = standins.Close() })
-	f := &fleet{t: t, dir: t.TempDir(), layout: layout, standins: standins}
+	f := &fleet{t: t, dir: t.TempDir(), layout: layout, standins: standins, maxFds: opts.maxFds}
 	doc := layout.Document()
 	if opts.edit != nil {
 		opts.edit(doc)
@@ -104,7 +110,7 @@
 	data, err := json.Marshal(settings)
 	check(f.t, err)
 	check(f.t, os.WriteFile(path, data, 0o600))
-	p := &process{t: f.t, name: name, program: program}
+	p := &process{t: f.t, name: name, program: program, maxFds: f.maxFds}
 	p.run("--settings", path)
 	return p
 }
@@ -117,6 +123,10 @@
 	log, err := os.CreateTemp(p.t.TempDir(), p.name)
 	check(p.t, err)
 	p.cmd = exec.Command(filepath.Join(binaries, p.program), args...)
+	if p.maxFds > 0 {
+		limited := []string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(p.maxFds), filepath.Join(binaries, p.program)}
+		p.cmd = exec.Command("/bin/sh", append(limited, args...)...)
+	}
 	p.cmd.Stdout = log
 	p.cmd.Stderr = log
 	check(p.t, p.cmd.Start())
