--- a/crowd/clients.go
+++ b/crowd/clients.go
@@ -54,3 +54,11 @@
 	})
 	return Client{Start: string(frame[:bytes])}
 }
+
+// HalfMessageInFrames is one that sends it in frames, as processes do.
+func HalfMessageInFrames(bytes int) Client {
+	frame := drpcwire.AppendFrame(nil, drpcwire.Frame{
+		ID: drpcwire.ID{Stream: 1, Message: 1}, Kind: drpcwire.KindInvoke, Data: make([]byte, 32<<10),
+	})
+	return Client{Start: string(frame), More: string(frame), Bytes: bytes}
+}
