Texts of callers don't fill the log

A caller with a request ID of 12 KB of bytes that JSON escapes made each log line 72 KB long.

Cause: texts of callers were logged whole, but for those of a stream that is taken up, and the queue was bounded in lines only.

Change: log lines have the first 64 bytes of a request's ID and of its host; the queue holds at most 4 MiB, and drops and counts lines beyond. The wire has the whole ID as before.

--- a/daemon/asynclog.go
+++ b/daemon/asynclog.go
@@ -16,6 +16,9 @@
 	// Further lines are dropped.
 	maxQueuedLines = 2048
 
+	// maxQueuedBytes is the size of the lines that can wait: some hundred bytes each.
+	maxQueuedBytes = 4 << 20
+
 	// linesPerSecond and lineBurst limit the rate of lines. A request logs one to
 	// three lines; the largest routers serve about 100 requests a second.
 	linesPerSecond = 500
@@ -27,8 +30,9 @@
 // AsyncWriter forwards lines to a writer that may be slow. Write never blocks:
 // lines that exceed the queue or the rate limit are dropped and counted.
 type AsyncWriter struct {
-	// lines is the queue; Close ends it with a nil line.
+	// lines is the queue; Close ends it with a nil line. queued is the size of its lines.
 	lines   chan []byte
+	queued  atomic.Int64
 	limiter *rate.Limiter
 	dropped atomic.Int64
 	done    chan struct{}
@@ -52,12 +56,26 @@
 		w.dropped.Add(1)
 		return len(line), nil
 	}
+	if !w.enqueue(line) {
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// enqueue reports whether the queue has taken a line.
+func (w *AsyncWriter) enqueue(line []byte) bool {
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.queued.Add(-size)
+		return false
+	}
 	select {
 	case w.lines <- bytes.Clone(line):
+		return true
 	default:
-		w.dropped.Add(1)
+		w.queued.Add(-size)
+		return false
 	}
-	return len(line), nil
 }
 
 // Dropped returns the number of lines dropped so far.
@@ -73,6 +91,7 @@
 			return
 		}
 		_, _ = out.Write(line)
+		w.queued.Add(-int64(len(line)))
 		if dropped := w.dropped.Load(); dropped > reported && time.Since(last) >= dropReportInterval {
 			reporter.Warn("log lines dropped", "total", dropped)
 			reported, last = dropped, time.Now()
--- a/daemon/asynclog_test.go
+++ b/daemon/asynclog_test.go
@@ -50,3 +50,21 @@
 		t.Fatal("the dropped lines are not reported in the log")
 	}
 }
+
+// Guards against a queue of few but large lines that takes the process's memory.
+func TestTheQueueOfLogLinesIsBoundedInBytes(t *testing.T) {
+	out := &blockedWriter{release: make(chan struct{})}
+	w := NewAsyncWriter(out)
+	line := bytes.Repeat([]byte("x"), 100<<10)
+	for range lineBurst {
+		_, _ = w.Write(line)
+	}
+	if queued := w.queued.Load(); queued > maxQueuedBytes || w.Dropped() == 0 {
+		t.Errorf("%d bytes queued and %d lines dropped, want at most %d bytes", queued, w.Dropped(), maxQueuedBytes)
+	}
+	close(out.release)
+	w.Close()
+	if queued := w.queued.Load(); queued != 0 {
+		t.Errorf("%d bytes queued at the end", queued)
+	}
+}
--- a/direct/credit.go
+++ b/direct/credit.go
@@ -264,7 +264,7 @@
 			// The holder may make the reservation, now or later.
 			c.settler.add(holder, &pb.CreditSettlement{Reservation: id})
 		}
-		c.logger.Debug("holder of credit not reached", "request", req.id, "workspace", req.workspace, "holder", holder.VM, "error", err.Error())
+		c.logger.Debug("holder of credit not reached", "request", logged(req.id), "workspace", req.workspace, "holder", holder.VM, "error", err.Error())
 		return notReserved, false
 	}
 	answer := creditAnswer{retryAfter: time.Duration(resp.GetRetryAfterMs()) * time.Millisecond}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -264,7 +264,7 @@
 	x.firstByteAt = time.Now()
 	x.writer.WriteHeader(a.status)
 	if _, err := x.writer.Write(a.body); err != nil {
-		x.router.logger.Debug("failed to write the response to the caller", "request", x.meta.ID, "error", err.Error())
+		x.router.logger.Debug("failed to write the response to the caller", "request", logged(x.meta.ID), "error", err.Error())
 	}
 }
 
@@ -273,7 +273,7 @@
 	if a.outcome == outcomeAnswered {
 		level = slog.LevelDebug
 	}
-	x.router.logger.Log(context.Background(), level, "attempt ended", "request", x.meta.ID,
+	x.router.logger.Log(context.Background(), level, "attempt ended", "request", logged(x.meta.ID),
 		"endpoint", a.choice.Endpoint.ID, "address", a.choice.Endpoint.Address, "version", a.choice.Endpoint.Version,
 		"outcome", a.outcome.String(), "status", a.status, "state", x.progress.state,
 		"events", x.eventCount, "elapsed_ms", time.Since(x.started).Milliseconds(),
--- a/direct/lender.go
+++ b/direct/lender.go
@@ -219,7 +219,7 @@
 	result := s.lender.reserve(ctx, key, r, wait)
 	if result != prepaid.Reserved && wait > 0 {
 		account = s.credit.Describe(r.workspace)
-		s.logger.Info("credit not reserved for another router", "request", req.GetRequest(), "vm", key.from.VM, "workspace", r.workspace,
+		s.logger.Info("credit not reserved for another router", "request", logged(req.GetRequest()), "vm", key.from.VM, "workspace", r.workspace,
 			"tokens", r.tokens, "available", account.Available, "unspent", account.Unspent, "ungranted", account.Ungranted,
 			"age_ms", account.RowAge.Milliseconds(), "statement_age_ms", account.StatementAge.Milliseconds(), "exhausted", result == prepaid.Exhausted)
 	}
--- a/direct/notices.go
+++ b/direct/notices.go
@@ -138,7 +138,7 @@
 	if !noticed && !x.router.listReadLate(a.listRead) {
 		return nil
 	}
-	x.router.logger.Info("request not sent to the endpoint that was chosen", "request", x.meta.ID,
+	x.router.logger.Info("request not sent to the endpoint that was chosen", "request", logged(x.meta.ID),
 		"endpoint", a.choice.Endpoint.ID, "address", a.choice.Endpoint.Address, "chosen_ms_ago", time.Since(a.sentAt).Milliseconds(),
 		"noticed", noticed, "list_age_ms", ageMS(a.listRead, time.Now()))
 	err := &OvertakenError{Endpoint: a.choice.Endpoint.ID}
--- a/direct/origins.go
+++ b/direct/origins.go
@@ -175,7 +175,7 @@
 	r, started := x.router, time.Now()
 	origin, source, failed := x.findOrigin(ctx)
 	allowed := slices.ContainsFunc(x.route.Targets, func(t Target) bool { return t.Service == origin.Service })
-	r.logger.Info("stream taken up", "request", x.meta.ID, "resumes", logged(x.meta.Resumes), "after", logged(x.meta.LastEventID),
+	r.logger.Info("stream taken up", "request", logged(x.meta.ID), "resumes", logged(x.meta.Resumes), "after", logged(x.meta.LastEventID),
 		"origin", string(source), "service", origin.Service, "version", origin.Version, "allowed", allowed,
 		"holders_failed", failed, "elapsed_ms", time.Since(started).Milliseconds())
 	switch {
--- a/direct/partcrashes.go
+++ b/direct/partcrashes.go
@@ -83,7 +83,7 @@
 	if len(decision.Parts) == 0 {
 		return nil
 	}
-	x.router.logger.Info("prompt parts quarantined", "request", x.meta.ID, "parts", decision.Parts, "crashes", decision.Crashes,
+	x.router.logger.Info("prompt parts quarantined", "request", logged(x.meta.ID), "parts", decision.Parts, "crashes", decision.Crashes,
 		"trial", decision.Trial, "last_ms", decision.LastMS, "until_ms", decision.UntilMS, "now_ms", now)
 	if !decision.Quarantined() {
 		return nil
--- a/direct/quarantine.go
+++ b/direct/quarantine.go
@@ -45,7 +45,7 @@
 	if !decision.Quarantined() {
 		return nil
 	}
-	x.router.logger.Info("request quarantined", "request", x.meta.ID, "fingerprint", x.fingerprint(),
+	x.router.logger.Info("request quarantined", "request", logged(x.meta.ID), "fingerprint", x.fingerprint(),
 		"crashes", decision.CrashCount, "until_ms", decision.Until.UnixMilli(), "now_ms", now)
 	return refusal.NotRun(refusal.CauseQuarantined, "the request crashed %d endpoints", decision.CrashCount).
 		WithRetryAfter(decision.Until.Sub(time.UnixMilli(now)))
@@ -68,7 +68,7 @@
 	}
 	decision := q.record(entry)
 	if !answered {
-		x.router.logger.Info("crash recorded", "request", x.meta.ID, "fingerprint", entry.Request, "endpoint", entry.Endpoint,
+		x.router.logger.Info("crash recorded", "request", logged(x.meta.ID), "fingerprint", entry.Request, "endpoint", entry.Endpoint,
 			"answer_begun", a.answerBegun, "parts", loggedParts(x.meta.Parts), "crashes", decision.CrashCount, "at_ms", entry.AtMS)
 	}
 	return decision
--- a/direct/refuse.go
+++ b/direct/refuse.go
@@ -65,12 +65,12 @@
 		Cause: r.Cause, Detail: r.Detail, NotRun: r.RunState == pb.RunState_RUN_STATE_NOT_RUN,
 	})
 	if err != nil {
-		x.router.logger.Error("failed to encode the refusal", "request", x.meta.ID, "error", err.Error())
+		x.router.logger.Error("failed to encode the refusal", "request", logged(x.meta.ID), "error", err.Error())
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.announceConnection()
 	x.writer.WriteHeader(status)
 	if _, err := x.writer.Write(body); err != nil {
-		x.router.logger.Debug("failed to write the refusal to the caller", "request", x.meta.ID, "error", err.Error())
+		x.router.logger.Debug("failed to write the refusal to the caller", "request", logged(x.meta.ID), "error", err.Error())
 	}
 }
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -76,7 +76,7 @@
 		if aborted, ok := cause.(error); ok && errors.Is(aborted, http.ErrAbortHandler) {
 			panic(cause)
 		}
-		x.router.logger.Error("request handling panicked", "request", x.meta.ID, "panic", cause, "stack", string(debug.Stack()))
+		x.router.logger.Error("request handling panicked", "request", logged(x.meta.ID), "panic", cause, "stack", string(debug.Stack()))
 		if x.openChoice != nil {
 			x.router.cancelPick(*x.openChoice)
 		}
@@ -110,7 +110,7 @@
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
 	route, ok := x.config.route(x.request.Host, path)
 	if !ok {
-		return x.refuseByConfig(refusal.CauseUnknownCall, "no route for host %s", x.request.Host)
+		return x.refuseByConfig(refusal.CauseUnknownCall, "no route for host %s", logged(x.request.Host))
 	}
 	x.route = route
 	if err := x.authenticate(); err != nil {
@@ -213,7 +213,7 @@
 		return
 	}
 	if err := x.responseController().SetWriteDeadline(least); err != nil {
-		x.router.logger.Debug("no write deadline for a late response", "request", x.meta.ID, "error", err.Error())
+		x.router.logger.Debug("no write deadline for a late response", "request", logged(x.meta.ID), "error", err.Error())
 	}
 }
 
@@ -223,7 +223,7 @@
 		return
 	}
 	if err := x.responseController().SetReadDeadline(time.Now().Add(refusedBodyTimeout)); err != nil {
-		x.router.logger.Debug("no read deadline for the rest of a body", "request", x.meta.ID, "error", err.Error())
+		x.router.logger.Debug("no read deadline for the rest of a body", "request", logged(x.meta.ID), "error", err.Error())
 	}
 }
 
@@ -257,7 +257,7 @@
 	}
 	account := r.credit.Describe(x.workspace)
 	holdersKnown, holdersPaused := r.peers.creditAsking(x.workspace)
-	r.logger.Info("credit not reserved", "request", x.meta.ID, "workspace", x.workspace, "tokens", tokens,
+	r.logger.Info("credit not reserved", "request", logged(x.meta.ID), "workspace", x.workspace, "tokens", tokens,
 		"available", account.Available, "unspent", account.Unspent, "ungranted", account.Ungranted,
 		"age_ms", account.RowAge.Milliseconds(), "statement_age_ms", account.StatementAge.Milliseconds(),
 		"holders_answered", answer.answered, "holders_failed", answer.failed,
@@ -309,7 +309,7 @@
 	}
 	x.router.metrics.observe(x, err, elapsed)
 	fields := []any{
-		"request", x.meta.ID, "route", x.route.Name, "service", x.service, "workspace", x.workspace,
+		"request", logged(x.meta.ID), "route", x.route.Name, "service", x.service, "workspace", x.workspace,
 		"config_version", x.configVersion(), "config_age_ms", ageMS(x.configConfirmed, x.started), "route_since", x.routeSince(), "state", x.progress.state, "attempts", len(x.excluded),
 		"events", x.eventCount, "elapsed_ms", elapsed.Milliseconds(),
 	}
--- a/direct/silence.go
+++ b/direct/silence.go
@@ -220,7 +220,7 @@
 	if !w.ended {
 		w.ended = true
 		x.router.conns.silent(a.conn, by)
-		x.router.logger.Info("connection to an endpoint fell silent", "request", x.meta.ID, "endpoint", a.choice.Endpoint.ID,
+		x.router.logger.Info("connection to an endpoint fell silent", "request", logged(x.meta.ID), "endpoint", a.choice.Endpoint.ID,
 			"address", a.choice.Endpoint.Address, "unheard_ms", heard.Milliseconds(), "connection_idled_ms", a.connIdled.Milliseconds(), "send_again", w.mayLeave)
 	}
 	switch {
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -219,7 +219,7 @@
 	}
 	conn, _, err := x.responseController().Hijack()
 	if err != nil {
-		x.router.logger.Warn("failed to reset the connection of an HTTP/1.0 caller", "request", x.meta.ID, "error", err.Error())
+		x.router.logger.Warn("failed to reset the connection of an HTTP/1.0 caller", "request", logged(x.meta.ID), "error", err.Error())
 		return
 	}
 	if caller, ok := conn.(*callerConn); ok {
