--- /dev/null
+++ b/inbound/limits.go
@@ -0,0 +1,128 @@
+// Package inbound bounds what the clients of a process hold of it: connections, heads of requests
+// and messages that aren't complete, and bytes that lie unread in the kernel. When a bound is
+// reached, the connection that has kept the process waiting for longest makes room for a new one.
+package inbound
+
+import (
+	"math"
+	"syscall"
+	"time"
+)
+
+const (
+	// reservedFds are the descriptors of files, of the log and of the runtime.
+	reservedFds = 200
+
+	// defaultMemoryBytes is the memory of a machine whose settings name none.
+	defaultMemoryBytes = 256 << 20
+
+	// callerBufferBytes and processBufferBytes are the sizes of each buffer of a connection in the
+	// kernel, of clients and of other processes. They bound what one connection transfers in a round
+	// trip; those between processes carry large messages between regions.
+	callerBufferBytes  = 16 << 10
+	processBufferBytes = 64 << 10
+
+	// connectionBytes is the memory of one open connection within the process: stacks and buffers.
+	// The kernel's two buffers come on top.
+	connectionBytes = 20 << 10
+
+	// callerShare is the divisor of the memory that gives the memory for connections of callers,
+	// processShare that for those of other processes and of operators. headShare, messageShare
+	// and checkHeadShare are those for heads and messages that aren't complete.
+	callerShare    = 4
+	processShare   = 8
+	headShare      = 16
+	messageShare   = 8
+	checkHeadShare = 64
+)
+
+// Machine are the limits of the machine of a process.
+type Machine struct {
+	// MemoryBytes is the memory of the process, MaxFds the number of its descriptors; 0 if not
+	// declared.
+	MemoryBytes int64
+	MaxFds      int
+}
+
+// Memory returns the memory of the process in bytes.
+func (m Machine) Memory() int64 {
+	if m.MemoryBytes > 0 {
+		return m.MemoryBytes
+	}
+	return defaultMemoryBytes
+}
+
+// sockets is the number of descriptors for connections.
+func (m Machine) sockets() int {
+	fds := m.MaxFds
+	if fds <= 0 {
+		var limit syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+			return math.MaxInt32
+		}
+		fds = int(limit.Cur)
+	}
+	// Of few descriptors, files get a third.
+	return max(fds-reservedFds, fds*2/3)
+}
+
+// Limits bound what the clients of one listener hold together.
+type Limits struct {
+	// Connections is the number of open connections.
+	Connections int
+	// HeadMemoryBytes is the memory for large heads of requests, or for messages, that aren't
+	// complete. Ordinary ones don't count.
+	HeadMemoryBytes int64
+	// KernelBufferBytes is the size of each buffer of a connection in the kernel; 0 for the kernel's own.
+	KernelBufferBytes int
+}
+
+// Callers returns the limits of the listener for callers. Each of their requests may need a second
+// connection, to an endpoint, and the other listeners need some.
+func (m Machine) Callers() Limits {
+	const numerator, denominator = 3, 8
+	return m.limits(m.sockets()*numerator/denominator, callerShare, callerBufferBytes)
+}
+
+// Processes returns the limits of a listener for other processes.
+func (m Machine) Processes() Limits {
+	const divisor = 8
+	out := m.limits(m.sockets()/divisor, processShare, processBufferBytes)
+	out.HeadMemoryBytes = m.Memory() / messageShare
+	return out
+}
+
+// Shared returns the limits of one of several listeners of a process that opens few connections
+// itself.
+func (m Machine) Shared(listeners int) Limits {
+	const numerator, denominator = 3, 4
+	out := m.limits(m.sockets()*numerator/denominator/max(listeners, 1), callerShare*max(listeners, 1), callerBufferBytes)
+	out.HeadMemoryBytes /= int64(max(listeners, 1))
+	return out
+}
+
+// Checks returns the limits of a listener for readiness checks or for operators: some clients that
+// each use a connection or two.
+func (m Machine) Checks() Limits {
+	const connections, divisor = 64, 25
+	out := m.limits(min(connections, m.sockets()/divisor), processShare, callerBufferBytes)
+	out.HeadMemoryBytes = m.Memory() / checkHeadShare
+	return out
+}
+
+// limits returns limits of at most so many connections, whose memory is a share of all.
+func (m Machine) limits(connections, share, bufferBytes int) Limits {
+	affordable := m.Memory() / int64(share) / int64(connectionBytes+2*bufferBytes)
+	return Limits{
+		Connections:       max(1, min(connections, int(min(affordable, math.MaxInt32)))),
+		HeadMemoryBytes:   m.Memory() / headShare,
+		KernelBufferBytes: bufferBytes,
+	}
+}
+
+// Times are how long a client may take.
+type Times struct {
+	// Head is the time from the first byte of a head or message to its last one, Idle that which a
+	// connection may stay open without a request, or with one that only waits for its client.
+	Head, Idle time.Duration
+}
