Heads of callers' requests stay within the memory

Cause: net/http was given one limit a connection, 64 KB, and nothing bounded the sum. The operator's max_header_bytes and header_timeout_ms were not read. A field of five bytes becomes an entry of a map, so that a head takes up to some 16 times its size.

Change: the listener for callers is package inbound's. Heads over the operator's limit (16 KB on the deployments, 64 KB while none is declared) get 431. All large heads together take at most a 16th of the memory: beyond it the one that is incomplete for longest makes room, or the head is refused with 503 and Retry-After; it has not run. The head must come within header_timeout_ms and a second's margin. Ordinary heads, up to 4 KB and 64 lines, never count. idle_timeout_ms is in force, too.

--- a/direct/callerconns.go
+++ b/direct/callerconns.go
@@ -4,10 +4,9 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"jackdawswitch/inbound"
 )
 
 const (
@@ -81,30 +80,12 @@
 // closeEmpty closes the listener once the process has accepted all connections that the kernel
 // has opened, which would be reset, or after maxAcceptDelay.
 func (l *callerListener) closeEmpty() {
-	for end := time.Now().Add(maxAcceptDelay); hasUnread(l.Listener) && time.Now().Before(end); {
+	for end := time.Now().Add(maxAcceptDelay); inbound.HasUnread(l.Listener) && time.Now().Before(end); {
 		time.Sleep(acceptCheckInterval)
 	}
 	_ = l.Close()
 }
 
-// hasUnread reports whether a connection has bytes, or a listener connections, that the process
-// hasn't read or accepted yet. It reports false if that can't be told.
-func hasUnread(socket any) bool {
-	conn, ok := socket.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ready := 0
-	err = raw.Control(func(fd uintptr) {
-		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-	})
-	return err == nil && ready > 0
-}
-
 // closeUnused closes the connections whose callers don't send a request on them any more, and
 // returns how many are left, and how many of these have a request.
 func (l *callerListener) closeUnused(now time.Time) (closed, left, busy int) {
@@ -177,7 +158,7 @@
 		limit = maxFirstRequestDelay
 	}
 	waiting = !c.waitingSince.IsZero()
-	unused = waiting && now.Sub(c.waitingSince) >= limit && !hasUnread(c.Conn)
+	unused = waiting && now.Sub(c.waitingSince) >= limit && !inbound.HasUnread(c.Conn)
 	c.unused = c.unused || unused
 	c.mu.Unlock()
 	if unused {
--- a/direct/config.go
+++ b/direct/config.go
@@ -81,6 +81,11 @@
 type Limits struct {
 	// MaxBodyBytes is the maximum size of a request body in bytes.
 	MaxBodyBytes int64
+	// MaxHeadBytes is the maximum size of the head of a request in bytes, HeadTime the time in which
+	// it must arrive, and IdleTime that for which a connection may stay open without a request; 0 if
+	// not declared.
+	MaxHeadBytes       int
+	HeadTime, IdleTime time.Duration
 }
 
 // compiledConfig is a RouterConfig indexed for lookups. It is immutable.
--- a/direct/drain_test.go
+++ b/direct/drain_test.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"jackdawswitch/catalog"
+	"jackdawswitch/inbound"
 	"jackdawswitch/prepaid"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/standin"
@@ -447,7 +448,7 @@
 	}
 	c := &callerConn{countedConn: countedConn{Conn: accepted, traffic: &traffic{}}, waitingSince: time.Now()}
 	_, _ = io.WriteString(caller, "G")
-	eventually(t, "the bytes arrive", func() bool { return hasUnread(accepted) })
+	eventually(t, "the bytes arrive", func() bool { return inbound.HasUnread(accepted) })
 	if _, unused := c.closeIfUnused(time.Now().Add(time.Minute)); unused {
 		t.Error("closed with an unread request")
 	}
--- /dev/null
+++ b/direct/inbound.go
@@ -0,0 +1,74 @@
+package direct
+
+import (
+	"cmp"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"time"
+
+	"jackdawswitch/inbound"
+)
+
+const (
+	// The limits of callers' requests while no configuration declares any.
+	defaultMaxHeadBytes = 64 << 10
+	defaultHeadTime     = 10 * time.Second
+	defaultIdleTime     = 10 * time.Minute
+
+	// headTimeMargin is the time from the last byte that a caller sends until it is read.
+	headTimeMargin = time.Second
+)
+
+// Machine returns the limits of the VM.
+func (s Settings) Machine() inbound.Machine {
+	return inbound.Machine{MemoryBytes: s.MemoryBytes, MaxFds: s.MaxFds}
+}
+
+// requestLimits returns the limits of callers' requests in force.
+func (r *Router) requestLimits() Limits {
+	var declared Limits
+	if cfg := r.config.Load(); cfg != nil {
+		declared = cfg.limits
+	}
+	declared.MaxHeadBytes = cmp.Or(declared.MaxHeadBytes, defaultMaxHeadBytes)
+	declared.HeadTime = cmp.Or(declared.HeadTime, defaultHeadTime) + headTimeMargin
+	declared.IdleTime = cmp.Or(declared.IdleTime, defaultIdleTime)
+	return declared
+}
+
+// listenForCallers opens the listener for callers.
+func (r *Router) listenForCallers(address string) (*inbound.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	limits := r.opts.Settings.Machine().Callers()
+	limits.Connections, limits.KernelBufferBytes = math.MaxInt, 0
+	out := inbound.NewListener(listener, inbound.Options{
+		Name: "callers", Limits: limits,
+		Times: func() inbound.Times {
+			limits := r.requestLimits()
+			return inbound.Times{Head: limits.HeadTime, Idle: limits.IdleTime}
+		},
+		MaxHeadBytes: func() int { return r.requestLimits().MaxHeadBytes },
+		Kept:         callerIdleTime + callerIdleMargin,
+		WriteTime:    responseWriteTime,
+		Logger:       r.logger, Metrics: r.opts.Metrics,
+	})
+	r.inbound.Store(out)
+	return out, nil
+}
+
+// newCallerServer returns the server for callers, whose connections callers tracks.
+func (r *Router) newCallerServer(listener *inbound.Listener, callers *callerListener) *http.Server {
+	server := listener.Server(r)
+	// Among these messages are the panics of handlers, which end a connection without a response.
+	server.ErrorLog = slog.NewLogLogger(r.logger.Handler(), slog.LevelWarn)
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		listener.TrackState(conn, state)
+		callers.trackState(conn, state)
+	}
+	return server
+}
--- a/direct/router.go
+++ b/direct/router.go
@@ -27,6 +27,7 @@
 	"jackdawswitch/endpointlimit"
 	"jackdawswitch/endpointnotice"
 	"jackdawswitch/evacuation"
+	"jackdawswitch/inbound"
 	"jackdawswitch/prepaid"
 	"jackdawswitch/quarantine"
 	"jackdawswitch/routing"
@@ -51,12 +52,7 @@
 	// are dropped.
 	streamExpiryInterval = 2 * time.Second
 
-	// readHeaderTimeout, maxHeaderBytes and idleTimeout are the limits of the HTTP
-	// listeners. They are fixed and generous, because the listeners open before the
-	// first configuration is known and stay open when it changes.
-	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
-	idleTimeout       = 10 * time.Minute
+	readinessHeaderTimeout = 10 * time.Second
 )
 
 // Options configure a Router.
@@ -113,6 +109,8 @@
 	// table service lacks the record.
 	recordSaved atomic.Pointer[prepaid.EraProgress]
 	applyMu     sync.Mutex
+	// inbound is the listener for callers, nil before Run.
+	inbound atomic.Pointer[inbound.Listener]
 }
 
 // New returns a router. It serves nothing until Run is called.
@@ -190,13 +188,8 @@
 		return err
 	}
 	callers := r.overload.traffic.listen(callerListener)
-	callerServer := &http.Server{
-		Handler: r, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
-		// Among these messages are the panics of handlers, which end a connection without a response.
-		ErrorLog:  slog.NewLogLogger(r.logger.Handler(), slog.LevelWarn),
-		ConnState: callers.trackState,
-	}
-	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: readHeaderTimeout}
+	callerServer := r.newCallerServer(callerListener, callers)
+	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: readinessHeaderTimeout}
 	failed := make(chan error, 2)
 	served := make(chan struct{})
 	go func() {
@@ -233,9 +226,9 @@
 
 // listen opens the listeners for callers, for the readiness probe and for peers. If one
 // fails, it closes the others.
-func (r *Router) listen() (callers, readiness, peers net.Listener, err error) {
+func (r *Router) listen() (callers *inbound.Listener, readiness, peers net.Listener, err error) {
 	settings := r.opts.Settings
-	if callers, err = net.Listen("tcp", settings.CallerAddress); err != nil {
+	if callers, err = r.listenForCallers(settings.CallerAddress); err != nil {
 		return nil, nil, nil, errors.WithStack(err)
 	}
 	if readiness, err = net.Listen("tcp", settings.ReadinessAddress); err != nil {
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -27,6 +27,10 @@
 	// still be written to a slow caller.
 	writeSlack = 300 * time.Millisecond
 
+	// responseWriteTime bounds one write of a response whose request has no deadline, such as a
+	// refusal.
+	responseWriteTime = 10 * time.Second
+
 	// minWriteTime is the time that the writing of a response has at least, also if it begins
 	// late. A router whose processor is saturated may be held up between two steps of it.
 	minWriteTime = time.Second
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -225,7 +224,7 @@
 	if caller, ok := conn.(*callerConn); ok {
 		conn = caller.Conn
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/direct/traffic.go
+++ b/direct/traffic.go
@@ -42,6 +42,9 @@
 	request atomic.Pointer[sentRequest]
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // sentRequest is what a connection knows of a request.
 type sentRequest struct {
 	// beforeSend is called before the first byte is sent. If it fails, nothing is sent.
