Connections of callers that aren't used make room for others

700 connections that send nothing, or were answered once and stay open, took all descriptors of a router (591 sockets of 600): others were not accepted, and no connection to an endpoint or to the store could be opened.

Cause: nothing bounded the number of connections.

A further one takes the place of the one that is unused, silent or slow for longest; one that is handled never makes room.

--- a/direct/inbound.go
+++ b/direct/inbound.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"time"
@@ -45,7 +44,7 @@
 		return nil, err
 	}
 	limits := r.opts.Settings.Machine().Callers()
-	limits.Connections, limits.KernelBufferBytes = math.MaxInt, 0
+	limits.KernelBufferBytes = 0
 	out := inbound.NewListener(listener, inbound.Options{
 		Name: "callers", Limits: limits,
 		Times: func() inbound.Times {
