What callers leave unread, or send unread, is bounded in the kernel

Cause: the kernel lets the buffers of a connection grow to megabytes. Such bytes count to the memory of the process.

Bodies of 4 MB by length and in chunks are served as before (TestCallersAtTheLimitsAreServed).

--- a/direct/inbound.go
+++ b/direct/inbound.go
@@ -43,10 +43,8 @@
 	if err != nil {
 		return nil, err
 	}
-	limits := r.opts.Settings.Machine().Callers()
-	limits.KernelBufferBytes = 0
 	out := inbound.NewListener(listener, inbound.Options{
-		Name: "callers", Limits: limits,
+		Name: "callers", Limits: r.opts.Settings.Machine().Callers(),
 		Times: func() inbound.Times {
 			limits := r.requestLimits()
 			return inbound.Times{Head: limits.HeadTime, Idle: limits.IdleTime}
