--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"jackdawswitch/bodymem"
 	"jackdawswitch/routing"
 )
 
@@ -353,7 +354,7 @@
 func (a *attempt) readBody(x *exchange, resp *http.Response) {
 	defer func() { _ = resp.Body.Close() }()
 	before := x.hold
-	data, err := x.hold.readBounded(resp.Body, bodyBound(x.router.bodies.maxResponse(), resp.ContentLength), x.hold.grow)
+	data, err := x.hold.readBounded(resp.Body, bodymem.Bound(x.router.bodies.maxResponse(), resp.ContentLength), x.hold.grow)
 	var noMemory *MemoryError
 	switch {
 	case err == nil:
--- a/direct/bodybudget.go
+++ b/direct/bodybudget.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"jackdawswitch/bodymem"
 	"jackdawswitch/refusal"
 )
 
@@ -36,9 +37,6 @@
 	// maxExpectedSizes bounds the services with an expected size.
 	maxExpectedSizes = 1024
 
-	// minBodyBufferBytes is the first size of a buffer for a body.
-	minBodyBufferBytes = 1 << 10
-
 	// memoryRetryAfter to twice that is the retry-after delay when the memory is used up:
 	// callers that read slowly hold it for about a second or longer.
 	memoryRetryAfter = 500 * time.Millisecond
@@ -192,43 +190,17 @@
 		WithRetryAfter(memoryRetryAfter + rand.N(memoryRetryAfter)).WithError(h.failure())
 }
 
-// bodyBound returns the largest size of a body of the declared length, which the HTTP
-// transport enforces; a length up to 0 is unknown. limit applies to all.
-func bodyBound(limit, declared int64) int64 {
-	if declared > 0 {
-		return min(limit, declared)
-	}
-	return limit
-}
-
-// readBounded reads r to its end. It takes the memory before it grows the buffer. Its
-// error is errBodyTooLarge beyond limit bytes and a *MemoryError if no memory is left.
+// readBounded reads r to its end. Its error is errBodyTooLarge beyond limit bytes and a *MemoryError
+// if no memory is left.
 func (h *bodyHold) readBounded(r io.Reader, limit int64, grow func(int64) bool) ([]byte, error) {
-	var buf []byte
-	for {
-		if len(buf) == cap(buf) {
-			size := min(max(2*int64(cap(buf)), minBodyBufferBytes), limit+1)
-			if int64(len(buf)) > limit {
-				return nil, errors.WithStack(errBodyTooLarge)
-			}
-			if !grow(size - int64(cap(buf))) {
-				return nil, h.failure()
-			}
-			buf = append(make([]byte, 0, size), buf...)
-		}
-		n, err := r.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-	if int64(len(buf)) > limit {
+	data, err := bodymem.Read(r, limit, grow)
+	switch {
+	case errors.Is(err, bodymem.TooLargeError{}):
 		return nil, errors.WithStack(errBodyTooLarge)
+	case errors.Is(err, bodymem.NoMemoryError{}):
+		return nil, h.failure()
 	}
-	return buf, nil
+	return data, err
 }
 
 // heldStream is a stream whose events count to the memory while they are incomplete.
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"jackdawswitch/bodymem"
 	"jackdawswitch/prepaid"
 	"jackdawswitch/refusal"
 )
@@ -185,7 +186,7 @@
 	}
 	defer context.AfterFunc(x.router.drain.requestsEnd, func() { _ = control.SetReadDeadline(time.Now()) })()
 	limit := x.config.limits.MaxBodyBytes
-	body, err := x.hold.readBounded(http.MaxBytesReader(x.writer, x.request.Body, limit), bodyBound(limit, x.request.ContentLength), x.hold.growNew)
+	body, err := x.hold.readBounded(http.MaxBytesReader(x.writer, x.request.Body, limit), bodymem.Bound(limit, x.request.ContentLength), x.hold.growNew)
 	var tooLarge *http.MaxBytesError
 	var noMemory *MemoryError
 	if errors.As(err, &noMemory) {
--- a/direct/suspend_test.go
+++ b/direct/suspend_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"jackdawswitch/bodymem"
 )
 
 // slowTaker is a connection of a caller that needs a time for each write of a comment.
@@ -92,7 +94,7 @@
 		if !h.admit(requestOverheadBytes + b.expectedSize("s")) {
 			t.Fatalf("request %d refused with %d bytes in use", i, b.inUse())
 		}
-		data, err := h.readBounded(strings.NewReader(strings.Repeat("x", size)), bodyBound(1<<20, size), h.growNew)
+		data, err := h.readBounded(strings.NewReader(strings.Repeat("x", size)), bodymem.Bound(1<<20, size), h.growNew)
 		if err != nil || len(data) != size {
 			t.Fatalf("request %d: %d bytes, error %v", i, len(data), err)
 		}
@@ -114,7 +116,7 @@
 	const size = 40 << 10
 	b := newBodyBudget(0)
 	h := bodyHold{budget: b}
-	if _, err := h.readBounded(strings.NewReader(strings.Repeat("x", size)), bodyBound(1<<20, size), h.growNew); err != nil || b.inUse() > size+1 {
+	if _, err := h.readBounded(strings.NewReader(strings.Repeat("x", size)), bodymem.Bound(1<<20, size), h.growNew); err != nil || b.inUse() > size+1 {
 		t.Errorf("%d bytes in use for %d, error %v", b.inUse(), size, err)
 	}
 }
