Requests that wait for their callers make room for others

Cause: memory for requests was given to whoever came first, however long the caller kept the router waiting.

Change: a request for which no memory is left makes others give theirs back: those that have waited for their callers for longest, for a body or for a response to be taken, first those of over a second, then of over a tenth of one. A request that runs at an endpoint is never among them. The size of a response is expected by route instead of by service, so that small ones fit beside large ones.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -363,7 +363,7 @@
 		}
 		if err == nil {
 			a.body = data
-			x.router.bodies.recordSize(x.service, int64(len(data)))
+			x.router.bodies.recordSize(x.route.Name, int64(len(data)))
 			return
 		}
 		a.breakOff(errors.WithStack(err))
--- a/direct/bodybudget.go
+++ b/direct/bodybudget.go
@@ -31,10 +31,10 @@
 
 	// sizeDecay is the divisor of the share by which an expected size moves to the size of
 	// each response. The memory of many requests is bounded by the mean of their sizes: one
-	// large response must not turn away the other callers of its service.
+	// large response must not turn away the other callers of its route.
 	sizeDecay = 16
 
-	// maxExpectedSizes bounds the services with an expected size.
+	// maxExpectedSizes bounds the routes with an expected size.
 	maxExpectedSizes = 1024
 
 	// memoryRetryAfter to twice that is the retry-after delay when the memory is used up:
@@ -64,7 +64,7 @@
 
 	mu   sync.Mutex
 	used int64
-	// expected is the mean size of the recent responses of a service.
+	// expected is the mean size of the recent responses of a route.
 	expected map[string]int64
 }
 
@@ -110,26 +110,26 @@
 	return b.used
 }
 
-// expectedSize returns the size of the response to expect from a service.
-func (b *bodyBudget) expectedSize(service string) int64 {
+// expectedSize returns the size of the response to expect on a route.
+func (b *bodyBudget) expectedSize(route string) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.expected[service]
+	return b.expected[route]
 }
 
-// recordSize records the size of a response of a service.
-func (b *bodyBudget) recordSize(service string, size int64) {
+// recordSize records the size of a response on a route.
+func (b *bodyBudget) recordSize(route string, size int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.expected) >= maxExpectedSizes {
 		clear(b.expected)
 	}
-	known, ok := b.expected[service]
+	known, ok := b.expected[route]
 	if !ok {
-		b.expected[service] = size
+		b.expected[route] = size
 		return
 	}
-	b.expected[service] = known + (size-known)/sizeDecay
+	b.expected[route] = known + (size-known)/sizeDecay
 }
 
 // bodyHold is the memory that one request holds.
--- a/direct/inbound.go
+++ b/direct/inbound.go
@@ -18,6 +18,11 @@
 
 	// headTimeMargin is the time from the last byte that a caller sends until it is read.
 	headTimeMargin = time.Second
+
+	// A request for which no memory is left makes others give theirs back up to maxReclaims times, and
+	// waits for reclaimInterval each time.
+	maxReclaims     = 5
+	reclaimInterval = 10 * time.Millisecond
 )
 
 // Machine returns the limits of the VM.
@@ -69,3 +74,20 @@
 	}
 	return server
 }
+
+// reclaim calls take until it has got memory. Meanwhile the requests that have kept the router waiting
+// for longest make room, if there are any. It reports whether take got it.
+func (x *exchange) reclaim(take func() bool) bool {
+	for range maxReclaims {
+		if take() {
+			return true
+		}
+		listener := x.router.inbound.Load()
+		if listener == nil || !listener.Reclaim() {
+			return false
+		}
+		// Their handlers give the memory back.
+		time.Sleep(reclaimInterval)
+	}
+	return take()
+}
--- a/direct/serve.go
+++ b/direct/serve.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"jackdawswitch/bodymem"
+	"jackdawswitch/inbound"
 	"jackdawswitch/prepaid"
 	"jackdawswitch/refusal"
 )
@@ -134,12 +135,12 @@
 	if err := x.checkStopping(); err != nil {
 		return err
 	}
-	expected := x.router.bodies.expectedSize(x.service)
+	expected := x.router.bodies.expectedSize(x.route.Name)
 	if x.route.Streaming {
 		// Only incomplete events of a stream are held.
 		expected = 0
 	}
-	if !x.hold.admit(requestOverheadBytes + expected) {
+	if !x.reclaim(func() bool { return x.hold.admit(requestOverheadBytes + expected) }) {
 		return x.hold.refuse()
 	}
 	x.hold.spare -= requestOverheadBytes
@@ -186,7 +187,10 @@
 	}
 	defer context.AfterFunc(x.router.drain.requestsEnd, func() { _ = control.SetReadDeadline(time.Now()) })()
 	limit := x.config.limits.MaxBodyBytes
-	body, err := x.hold.readBounded(http.MaxBytesReader(x.writer, x.request.Body, limit), bodymem.Bound(limit, x.request.ContentLength), x.hold.growNew)
+	grow := func(bytes int64) bool { return x.reclaim(func() bool { return x.hold.growNew(bytes) }) }
+	arrived := inbound.AwaitClient(x.request)
+	body, err := x.hold.readBounded(http.MaxBytesReader(x.writer, x.request.Body, limit), bodymem.Bound(limit, x.request.ContentLength), grow)
+	arrived()
 	var tooLarge *http.MaxBytesError
 	var noMemory *MemoryError
 	if errors.As(err, &noMemory) {
