An endpoint waits for a caller that doesn't read its stream

Cause: the router reads no more once its caller doesn't, and the kernel goes on to take what the endpoint sends, in a buffer that grows to megabytes.

Change: both buffers of a connection to an endpoint are 64 KB.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -138,7 +138,7 @@
 func newTransport(traffic *traffic) *http.Transport {
 	// Requests have deadlines, so that keep-alive probes, which take four system calls a
 	// connection, would tell nothing more.
-	dialer := &net.Dialer{Timeout: endpointDialTimeout, KeepAlive: -1}
+	dialer := &net.Dialer{Timeout: endpointDialTimeout, KeepAlive: -1, Control: boundEndpointBuffers}
 	return &http.Transport{
 		DialContext:            traffic.dial(dialer.DialContext),
 		DisableCompression:     true,
--- a/direct/inbound.go
+++ b/direct/inbound.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"jackdawswitch/inbound"
@@ -23,6 +24,10 @@
 	// waits for reclaimInterval each time.
 	maxReclaims     = 5
 	reclaimInterval = 10 * time.Millisecond
+
+	// endpointBufferBytes is the size of each buffer of a connection to an endpoint in the kernel. An
+	// endpoint waits for a caller that doesn't read once they are full.
+	endpointBufferBytes = 64 << 10
 )
 
 // Machine returns the limits of the VM.
@@ -91,3 +96,8 @@
 	}
 	return take()
 }
+
+// boundEndpointBuffers is the Control function of connections to endpoints.
+func boundEndpointBuffers(_, _ string, conn syscall.RawConn) error {
+	return inbound.BoundRawBuffers(conn, endpointBufferBytes)
+}
