--- a/direct/inbound.go
+++ b/direct/inbound.go
@@ -20,6 +20,11 @@
 	// headTimeMargin is the time from the last byte that a caller sends until it is read.
 	headTimeMargin = time.Second
 
+	// The limits of readiness checks, which have no body and come every second.
+	readinessHeadBytes = 16 << 10
+	readinessTime      = 10 * time.Second
+	readinessIdleTime  = time.Minute
+
 	// A request for which no memory is left makes others give theirs back up to maxReclaims times, and
 	// waits for reclaimInterval each time.
 	maxReclaims     = 5
@@ -101,3 +106,27 @@
 func boundEndpointBuffers(_, _ string, conn syscall.RawConn) error {
 	return inbound.BoundRawBuffers(conn, endpointBufferBytes)
 }
+
+// listenForReadiness opens the listener for readiness checks.
+func (r *Router) listenForReadiness(address string) (*inbound.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return inbound.NewListener(listener, inbound.Options{
+		Name: "readiness", Limits: r.opts.Settings.Machine().Checks(),
+		Times:        func() inbound.Times { return inbound.Times{Head: readinessTime, Idle: readinessIdleTime} },
+		MaxHeadBytes: func() int { return readinessHeadBytes },
+		Kept:         readinessIdleTime,
+		WriteTime:    readinessTime,
+		Logger:       r.logger, Metrics: r.opts.Metrics,
+	}), nil
+}
+
+// newReadinessServer returns the server for readiness checks.
+func newReadinessServer(listener *inbound.Listener, handler http.Handler) *http.Server {
+	server := listener.Server(handler)
+	server.ReadTimeout = readinessTime
+	server.IdleTimeout = readinessIdleTime
+	return server
+}
--- a/direct/router.go
+++ b/direct/router.go
@@ -51,8 +51,6 @@
 	// streamExpiryInterval is how often the origins of streams that can't be taken up any more
 	// are dropped.
 	streamExpiryInterval = 2 * time.Second
-
-	readinessHeaderTimeout = 10 * time.Second
 )
 
 // Options configure a Router.
@@ -189,7 +187,7 @@
 	}
 	callers := r.overload.traffic.listen(callerListener)
 	callerServer := r.newCallerServer(callerListener, callers)
-	readinessServer := &http.Server{Handler: http.HandlerFunc(r.serveReady), ReadHeaderTimeout: readinessHeaderTimeout}
+	readinessServer := newReadinessServer(readinessListener, http.HandlerFunc(r.serveReady))
 	failed := make(chan error, 2)
 	served := make(chan struct{})
 	go func() {
@@ -226,12 +224,12 @@
 
 // listen opens the listeners for callers, for the readiness probe and for peers. If one
 // fails, it closes the others.
-func (r *Router) listen() (callers *inbound.Listener, readiness, peers net.Listener, err error) {
+func (r *Router) listen() (callers, readiness *inbound.Listener, peers net.Listener, err error) {
 	settings := r.opts.Settings
 	if callers, err = r.listenForCallers(settings.CallerAddress); err != nil {
 		return nil, nil, nil, errors.WithStack(err)
 	}
-	if readiness, err = net.Listen("tcp", settings.ReadinessAddress); err != nil {
+	if readiness, err = r.listenForReadiness(settings.ReadinessAddress); err != nil {
 		_ = callers.Close()
 		return nil, nil, nil, errors.WithStack(err)
 	}
