Clients of the operators' listener are bounded

Cause: as at the readiness listener, no limit of size or number.

Change: the listener has package inbound's limits for checks. jackdaw-router and jackdaw-agent have the setting machine (memoryMB, maxFds) of which the limits are parts: 256 MiB and the kernel's limit of descriptors if it isn't set.

--- a/cmd/jackdaw-agent/main.go
+++ b/cmd/jackdaw-agent/main.go
@@ -33,5 +33,6 @@
 		ForceStop: force,
 	})
 	server := ops.New(set.Operators, a, metrics, logger)
+	server.Limit(set.Machine.Limits())
 	return daemon.Run(server, set.Operators.ListenAddress, func() error { return a.Run(ctx) })
 }
--- a/cmd/jackdaw-edge/main.go
+++ b/cmd/jackdaw-edge/main.go
@@ -110,6 +110,7 @@
 	go platform.Follow(feedCtx, store, router, delays, logger)
 	operators := settings.OperatorListener{TokenHash: os.Getenv(operatorTokenHashEnv)}
 	server := ops.NewTokenless(operators, router, metrics, logger)
+	server.Limit(set.Router.Machine())
 	listen := net.JoinHostPort(set.Router.IP, strconv.Itoa(port))
 	err := daemon.Run(server, listen, func() error { return router.Run(ctx) })
 	logger.Info("stopped")
--- a/cmd/jackdaw-router/main.go
+++ b/cmd/jackdaw-router/main.go
@@ -41,5 +41,6 @@
 		return err
 	}
 	server := ops.New(set.Operators, r, metrics, logger)
+	server.Limit(set.Machine.Limits())
 	return daemon.Run(server, set.Operators.ListenAddress, func() error { return r.Run(ctx, force) })
 }
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"time"
 
+	"jackdawswitch/inbound"
 	"jackdawswitch/invariant"
 	"jackdawswitch/secure"
 	"jackdawswitch/settings"
@@ -21,6 +22,9 @@
 	readHeaderTimeout = 5 * time.Second
 	requestTimeout    = 30 * time.Second
 	shutdownTimeout   = 2 * time.Second
+
+	// maxHeadBytes is the size of the largest head of a request.
+	maxHeadBytes = 16 << 10
 )
 
 // Process is the daemon whose state the listener serves.
@@ -38,6 +42,7 @@
 	metrics  *Metrics
 	logger   *slog.Logger
 	routes   map[string]http.Handler
+	machine  inbound.Machine
 	// tokenless is set if the machine itself needs no token; see NewTokenless.
 	tokenless bool
 }
@@ -64,6 +69,9 @@
 	return s
 }
 
+// Limit sets the limits of the machine, of which clients get a part. It must be called before Serve.
+func (s *Server) Limit(machine inbound.Machine) { s.machine = machine }
+
 // Handle adds a route that needs the operators' token. It must be called before
 // Serve.
 func (s *Server) Handle(pattern string, handler http.Handler) {
@@ -90,19 +98,23 @@
 // Serve serves requests on listener until ctx ends. It returns nil after ctx has
 // ended.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{
-		Handler:           s.Handler(),
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       requestTimeout,
-		WriteTimeout:      requestTimeout,
-	}
+	bounded := inbound.NewListener(listener, inbound.Options{
+		Name: "operators", Limits: s.machine.Checks(),
+		Times:        func() inbound.Times { return inbound.Times{Head: readHeaderTimeout, Idle: requestTimeout} },
+		MaxHeadBytes: func() int { return maxHeadBytes },
+		Kept:         requestTimeout,
+		WriteTime:    requestTimeout,
+		Logger:       s.logger, Metrics: s.metrics.Scope,
+	})
+	server := bounded.Server(s.Handler())
+	server.ReadTimeout, server.WriteTimeout = requestTimeout, requestTimeout
 	stop := context.AfterFunc(ctx, func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
 		_ = server.Shutdown(shutdownCtx)
 	})
 	defer stop()
-	err := server.Serve(listener)
+	err := server.Serve(bounded)
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/settings/load.go
+++ b/settings/load.go
@@ -21,6 +21,8 @@
 	maxSlots        = 4096
 	maxQueueLimit   = 65536
 	maxAddresses    = 64
+	maxMemoryMB     = 1 << 24
+	maxMaxFds       = 1 << 30
 	sha256Bytes     = 32
 )
 
@@ -116,6 +118,7 @@
 	c.checkURL("$.platform.objectStore", r.Platform.ObjectStore)
 	c.checkURL("$.platform.vmList", r.Platform.VMList)
 	c.checkTLS(r.TLS)
+	c.checkMachine(r.Machine)
 	c.checkAddresses("$.seeds", r.Seeds)
 	c.checkRange("$.drainSeconds", r.DrainSeconds, 0, maxDrainSeconds)
 	c.checkRange("$.balancerSeconds", r.BalancerDelaySeconds, 0, maxDrainSeconds)
@@ -133,6 +136,7 @@
 	c.checkAdvertise(a.AdvertiseAddress, a.ListenAddress)
 	c.checkOperators(a.Operators)
 	c.checkTLS(a.TLS)
+	c.checkMachine(a.Machine)
 	c.checkURL("$.backend", a.Backend)
 	c.Require(a.Kind == "model" || a.Kind == "plain", "$.kind", `must be "model" or "plain"`)
 	c.checkRange("$.slots", float64(a.Slots), 1, maxSlots)
@@ -190,6 +194,11 @@
 	c.Require(!fixedPort || address != other, path, "%s is already used by another listener", address)
 }
 
+func (c *checker) checkMachine(m Machine) {
+	c.checkRange("$.machine.memoryMB", float64(m.MemoryMB), 0, maxMemoryMB)
+	c.checkRange("$.machine.maxFds", float64(m.MaxFds), 0, maxMaxFds)
+}
+
 func (c *checker) checkOperators(o OperatorListener) {
 	c.checkAddress("$.operators.listen", o.ListenAddress)
 	if o.TokenHash == "" {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,6 +3,8 @@
 // and are separate from the configuration, which operators change at run time.
 package settings
 
+import "jackdawswitch/inbound"
+
 // Identity identifies a process and its location.
 type Identity struct {
 	// VM is the ID of the VM that the process runs on.
@@ -36,6 +38,20 @@
 	Authority   string `json:"authority,omitempty"`
 }
 
+// Machine holds the limits of the machine of a process, of which clients that misbehave together get
+// a part only.
+type Machine struct {
+	// MemoryMB is the memory of the process in MiB; 0 means 256.
+	MemoryMB int64 `json:"memoryMB,omitempty"`
+	// MaxFds is the number of its descriptors; 0 means the limit that the kernel enforces.
+	MaxFds int `json:"maxFds,omitempty"`
+}
+
+// Limits returns the limits for listeners.
+func (m Machine) Limits() inbound.Machine {
+	return inbound.Machine{MemoryBytes: m.MemoryMB << 20, MaxFds: m.MaxFds}
+}
+
 // Router holds the settings of jackdaw-router.
 type Router struct {
 	Identity Identity `json:"identity"`
@@ -49,6 +65,7 @@
 	Operators        OperatorListener `json:"operators"`
 	Platform         Platform         `json:"platform"`
 	TLS              TLS              `json:"tls,omitzero"`
+	Machine          Machine          `json:"machine,omitzero"`
 	// Seeds are addresses of other routers from which the configuration is
 	// fetched when the platform is down.
 	Seeds []string `json:"seeds,omitempty"`
@@ -67,6 +84,7 @@
 	AdvertiseAddress string           `json:"advertise,omitempty"`
 	Operators        OperatorListener `json:"operators"`
 	TLS              TLS              `json:"tls,omitzero"`
+	Machine          Machine          `json:"machine,omitzero"`
 	// Backend is the base URL of the endpoint's engine or service.
 	Backend string `json:"backend"`
 	// Kind is "model" or "plain".
