Connections of other processes are bounded, and messages that aren't complete

Cause: a message may have 16 MB, and nothing bounded the sum, the number of connections, or how long one stays open without a call. drpc keeps the buffer of a large message for the next ones, too.

Change: package rpc serves connections of package inbound. They have an eighth of the descriptors and of the memory; messages that aren't complete, and buffers that are kept, an eighth of the memory: beyond it the message that is incomplete for longest makes room, then an idle connection with a large buffer, or the connection is closed. A frame larger than drpc's 64 KB closes it. An error of Accept no longer ends the listener.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return &ListenError{Address: a.opts.Settings.ListenAddress, Cause: err}
 	}
-	server := rpc.NewServer()
+	server := rpc.NewServerWithOptions(rpc.ServerOptions{Machine: a.opts.Settings.Machine.Limits(), Logger: a.opts.Logger, Metrics: a.opts.Scope})
 	if err := pb.DRPCRegisterAgent(server.Mux(), a.Service()); err != nil {
 		return &ListenError{Address: a.opts.Settings.ListenAddress, Cause: err}
 	}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -22,6 +22,10 @@
 	// maxPeerResponseBytes bounds the response of another router. The largest holds the
 	// response to a relayed call of the table service, which has at most 4 MiB.
 	maxPeerResponseBytes = 5 << 20
+
+	// maxPeerRequestBytes bounds the request of another router. The largest holds a call of the table
+	// service, which has at most 1 MB of values, in base64.
+	maxPeerRequestBytes = 2 << 20
 )
 
 // PeerError reports why a call to another router failed.
--- a/direct/router.go
+++ b/direct/router.go
@@ -271,7 +271,9 @@
 
 // servePeers serves the calls of other routers until ctx ends.
 func (r *Router) servePeers(ctx context.Context, listener net.Listener) {
-	server := rpc.NewServer()
+	server := rpc.NewServerWithOptions(rpc.ServerOptions{
+		Machine: r.opts.Settings.Machine(), MaxMessageBytes: maxPeerRequestBytes, Logger: r.logger, Metrics: r.opts.Metrics,
+	})
 	err := pb.DRPCRegisterRouterPeer(server.Mux(), peerServer{r.peers})
 	if err == nil {
 		err = server.Serve(ctx, listener)
--- a/router/run.go
+++ b/router/run.go
@@ -53,7 +53,7 @@
 
 // startTasks starts the background tasks. They run until ctx ends.
 func (r *Router) startTasks(ctx context.Context, listener net.Listener) error {
-	server := rpc.NewServer()
+	server := rpc.NewServerWithOptions(rpc.ServerOptions{Machine: r.opts.Settings.Machine.Limits(), Logger: r.opts.Logger, Metrics: r.opts.Metrics})
 	if err := pb.DRPCRegisterHome(server.Mux(), r.home); err != nil {
 		return errors.WithStack(&ListenError{Address: r.opts.Settings.ListenAddress, Err: err})
 	}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -4,13 +4,18 @@
 package rpc
 
 import (
+	"cmp"
 	"context"
+	"log/slog"
 	"net"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -20,6 +25,8 @@
 	"storj.io/drpc/drpcserver"
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
+
+	"jackdawswitch/inbound"
 )
 
 const (
@@ -32,6 +39,16 @@
 	maxIdlePerAddress = 8
 	maxIdleConns      = 2048
 	writerBufferBytes = 1 << 10
+
+	// messageTime bounds the time from the first byte of a message to its last one, and that of one
+	// write. serverIdleTime is the time after which a server closes a connection that is no longer
+	// used: clients don't use one again that was idle for idleTimeout.
+	messageTime    = time.Minute
+	serverIdleTime = 2 * idleTimeout
+
+	// minAcceptDelay and maxAcceptDelay bound the delay after an error of Accept.
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = 500 * time.Millisecond
 )
 
 // Network makes and accepts connections. Processes use TCP, or TCP wrapped in
@@ -193,14 +210,36 @@
 	return c.pool.Close()
 }
 
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	// Machine are the limits of the machine, of which the connections of other processes get a part.
+	Machine inbound.Machine
+	// MaxMessageBytes limits the size of one message; 0 for MaxMessageBytes.
+	MaxMessageBytes int
+	// Logger and Metrics are of the process; nil for none.
+	Logger  *slog.Logger
+	Metrics tally.Scope
+}
+
 // Server serves drpc calls.
 type Server struct {
-	mux *drpcmux.Mux
+	mux  *drpcmux.Mux
+	opts ServerOptions
 }
 
 // NewServer returns a server without services.
-func NewServer() *Server {
-	return &Server{mux: drpcmux.New()}
+func NewServer() *Server { return NewServerWithOptions(ServerOptions{}) }
+
+// NewServerWithOptions returns a server without services.
+func NewServerWithOptions(opts ServerOptions) *Server {
+	opts.MaxMessageBytes = cmp.Or(opts.MaxMessageBytes, MaxMessageBytes)
+	if opts.Logger == nil {
+		opts.Logger = slog.New(slog.DiscardHandler)
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = tally.NoopScope
+	}
+	return &Server{mux: drpcmux.New(), opts: opts}
 }
 
 // Mux returns the mux to pass to the generated DRPCRegister functions.
@@ -209,6 +248,56 @@
 // Serve accepts connections until ctx ends, and returns after all handlers have
 // returned. The contexts of the handlers end with ctx.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	opts := drpcserver.Options{Manager: managerOptions(MaxMessageBytes)}
-	return drpcserver.NewWithOptions(s.mux, opts).Serve(ctx, listener)
+	bounded := inbound.NewListener(listener, inbound.Options{
+		Name: "processes", Limits: s.opts.Machine.Processes(),
+		Times:     func() inbound.Times { return inbound.Times{Head: messageTime, Idle: serverIdleTime} },
+		Kept:      idleTimeout,
+		WriteTime: messageTime,
+		Messages:  true,
+		Logger:    s.opts.Logger, Metrics: s.opts.Metrics,
+	})
+	ctx, cancel := context.WithCancel(ctx)
+	var handlers sync.WaitGroup
+	defer handlers.Wait()
+	defer cancel()
+	defer func() { _ = bounded.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = bounded.Close() })()
+	server := drpcserver.NewWithOptions(handler{mux: s.mux}, drpcserver.Options{Manager: managerOptions(s.opts.MaxMessageBytes)})
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = minAcceptDelay, maxAcceptDelay
+	for {
+		conn, err := bounded.Accept()
+		switch {
+		case err == nil:
+			retry.Reset()
+			handlers.Go(func() { _ = server.ServeOne(context.WithValue(ctx, connKey{}, conn), conn) })
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return errors.WithStack(err)
+		default:
+			// Descriptors may be lacking for a while.
+			s.opts.Logger.Warn("connection of another process not accepted", "error", err.Error())
+			select {
+			case <-time.After(retry.NextBackOff()):
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	}
+}
+
+// connKey is the context key of the connection of a call.
+type connKey struct{}
+
+// handler handles the calls of a server.
+type handler struct{ mux *drpcmux.Mux }
+
+// HandleRPC implements drpc.Handler.
+func (h handler) HandleRPC(stream drpc.Stream, rpc string) error {
+	if conn, ok := stream.Context().Value(connKey{}).(*inbound.Conn); ok {
+		conn.BeginCall()
+		defer conn.EndCall()
+	}
+	return h.mux.HandleRPC(stream, rpc)
 }
--- a/secure/network.go
+++ b/secure/network.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"jackdawswitch/inbound"
 	"jackdawswitch/rpc"
 	"jackdawswitch/storage"
 )
@@ -197,6 +199,15 @@
 	}
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *listener) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.WithStack(inbound.NotASocketError{})
+	}
+	return conn.SyscallConn()
+}
+
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	select {
