A panic of a call's handler ends the call only

Cause: net/http recovers from a panic of a handler, drpc doesn't, so that one call with a field that a handler doesn't expect would end the process.

Change: the server logs the panic with its stack and fails the call. Violations of invariants still panic in tests. TestProofAPanicOfAHandlerEndsItsCallOnly: without the change "panic: a field is missing" ends the test's process; with it the test passes.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -8,6 +8,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +28,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"jackdawswitch/inbound"
+	"jackdawswitch/invariant"
 )
 
 const (
@@ -262,7 +264,7 @@
 	defer cancel()
 	defer func() { _ = bounded.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = bounded.Close() })()
-	server := drpcserver.NewWithOptions(handler{mux: s.mux}, drpcserver.Options{Manager: managerOptions(s.opts.MaxMessageBytes)})
+	server := drpcserver.NewWithOptions(handler{mux: s.mux, logger: s.opts.Logger}, drpcserver.Options{Manager: managerOptions(s.opts.MaxMessageBytes)})
 	retry := backoff.NewExponentialBackOff()
 	retry.InitialInterval, retry.MaxInterval = minAcceptDelay, maxAcceptDelay
 	for {
@@ -291,13 +293,33 @@
 type connKey struct{}
 
 // handler handles the calls of a server.
-type handler struct{ mux *drpcmux.Mux }
+type handler struct {
+	mux    *drpcmux.Mux
+	logger *slog.Logger
+}
+
+// PanicError means that the handler of a call panicked.
+type PanicError struct{ Call string }
+
+// Error implements error.
+func (e *PanicError) Error() string { return "rpc: the handler of " + e.Call + " panicked" }
 
-// HandleRPC implements drpc.Handler.
-func (h handler) HandleRPC(stream drpc.Stream, rpc string) error {
+// HandleRPC implements drpc.Handler. A panic ends the call only.
+func (h handler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
 	if conn, ok := stream.Context().Value(connKey{}).(*inbound.Conn); ok {
 		conn.BeginCall()
 		defer conn.EndCall()
 	}
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if violation, ok := cause.(*invariant.ViolationError); ok {
+			panic(violation)
+		}
+		h.logger.Error("call handling panicked", "call", rpc, "panic", cause, "stack", string(debug.Stack()))
+		err = errors.WithStack(&PanicError{Call: rpc})
+	}()
 	return h.mux.HandleRPC(stream, rpc)
 }
