Router with agents: connections and heads of callers are bounded

One cause: net/http was given limits of one connection only, and a refusal had no write deadline.

Change: the listener has package inbound's limits, as that of jackdaw-edge; a write for which no deadline is set ends after 10 s. Log lines have the first 256 bytes of a path and of an error.

--- a/router/callers/callers.go
+++ b/router/callers/callers.go
@@ -20,6 +20,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"jackdawswitch/config"
+	"jackdawswitch/inbound"
 	"jackdawswitch/refusal"
 	"jackdawswitch/router/dispatch"
 )
@@ -31,6 +32,12 @@
 	abortTimeout      = 2 * time.Second
 	maxHeaderBytes    = 32 << 10
 
+	// responseWriteTime bounds one write of a response for which no deadline is set.
+	responseWriteTime = 10 * time.Second
+
+	// maxLoggedBytes bounds a text of a caller in a log line.
+	maxLoggedBytes = 256
+
 	headerIdempotencyKey = "Idempotency-Key"
 	servicesPath         = "/services/"
 )
@@ -49,8 +56,10 @@
 	// Workspace returns the ID of the workspace that an API key belongs to.
 	Workspace  func(key string) (string, bool)
 	Dispatcher Dispatcher
-	Logger     *slog.Logger
-	Metrics    tally.Scope
+	// Machine are the limits of the machine, of which callers get a part.
+	Machine inbound.Machine
+	Logger  *slog.Logger
+	Metrics tally.Scope
 }
 
 // Server is the HTTP server for callers.
@@ -90,16 +99,20 @@
 func (s *Server) Serve(ctx, force context.Context, listener net.Listener, drain time.Duration) error {
 	requestCtx, cancelRequests := context.WithCancelCause(context.Background())
 	defer cancelRequests(nil)
-	server := &http.Server{
-		Handler:           s.app,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(s.opts.Logger.Handler(), slog.LevelWarn),
-		BaseContext:       func(net.Listener) context.Context { return requestCtx },
-	}
+	bounded := inbound.NewListener(listener, inbound.Options{
+		Name: "callers", Limits: s.opts.Machine.Callers(),
+		Times:        func() inbound.Times { return inbound.Times{Head: readHeaderTimeout, Idle: idleTimeout} },
+		MaxHeadBytes: func() int { return maxHeaderBytes },
+		Kept:         idleTimeout,
+		WriteTime:    responseWriteTime,
+		Logger:       s.opts.Logger, Metrics: s.opts.Metrics,
+	})
+	server := bounded.Server(s.app)
+	server.IdleTimeout = idleTimeout
+	server.ErrorLog = slog.NewLogLogger(s.opts.Logger.Handler(), slog.LevelWarn)
+	server.BaseContext = func(net.Listener) context.Context { return requestCtx }
 	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go func() { served <- server.Serve(bounded) }()
 	select {
 	case err := <-served:
 		return err
@@ -176,12 +189,15 @@
 	s.opts.Metrics.Tagged(map[string]string{"cause": string(rerr.Cause)}).Counter("refusals").Inc(1)
 	s.opts.Logger.Info("request refused",
 		"request", x.id,
-		"path", x.request.URL.Path,
+		"path", logged(x.request.URL.Path),
 		"cause", string(rerr.Cause),
 		"run_state", runStateName(rerr.RunState),
-		"error", rerr.Error())
+		"error", logged(rerr.Error()))
 }
 
+// logged returns the part of a caller's text that a log line has.
+func logged(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 func (s *Server) notFound(x *exchange) error {
 	return refusal.NotRun(refusal.CauseUnknownCall, "no such path or method: %s %s", x.request.Method, x.request.URL.Path)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -150,6 +150,7 @@
 		Config:     r.configStore.Current,
 		Workspace:  func(key string) (string, bool) { return r.keyring.Load().Workspace(key) },
 		Dispatcher: r.dispatcher,
+		Machine:    r.opts.Settings.Machine.Limits(),
 		Logger:     r.opts.Logger,
 		Metrics:    r.opts.Metrics,
 	})
