Router with agents: bodies of requests are bounded together

Cause: each body could have maxBodyBytes, and nothing bounded the sum.

Change: bodies take their memory from a quarter of the process's, twice their size, before it is used. Requests that wait for their callers make room; otherwise the answer is 503 with Retry-After, and the request has not run.

--- a/router/callers/callers.go
+++ b/router/callers/callers.go
@@ -6,12 +6,12 @@
 import (
 	"context"
 	"crypto/rand"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/kataras/iris/v12"
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"jackdawswitch/bodymem"
 	"jackdawswitch/config"
 	"jackdawswitch/inbound"
 	"jackdawswitch/refusal"
@@ -35,6 +36,17 @@
 	// responseWriteTime bounds one write of a response for which no deadline is set.
 	responseWriteTime = 10 * time.Second
 
+	// bodyMemoryShare is the divisor of the process's memory that gives the memory for bodies of
+	// requests, and bodyCost the memory of a body for each of its bytes: it is sent on from a copy.
+	bodyMemoryShare = 4
+	bodyCost        = 2
+
+	// A body for which no memory is left makes others give theirs back up to maxReclaims times, and
+	// waits for reclaimInterval each time. Otherwise its caller is to return after memoryRetryAfter.
+	maxReclaims      = 5
+	reclaimInterval  = 10 * time.Millisecond
+	memoryRetryAfter = time.Second
+
 	// maxLoggedBytes bounds a text of a caller in a log line.
 	maxLoggedBytes = 256
 
@@ -64,13 +76,16 @@
 
 // Server is the HTTP server for callers.
 type Server struct {
-	opts Options
-	app  *iris.Application
+	opts   Options
+	app    *iris.Application
+	bodies *bodymem.Budget
+	// listener is nil before Serve.
+	listener atomic.Pointer[inbound.Listener]
 }
 
 // New returns a Server with its routes built.
 func New(opts Options) (*Server, error) {
-	s := &Server{opts: opts, app: iris.New()}
+	s := &Server{opts: opts, app: iris.New(), bodies: bodymem.NewBudget(opts.Machine.Memory() / bodyMemoryShare)}
 	s.app.Logger().SetLevel("disable")
 	s.app.Post(chatPath, s.handle(s.chat))
 	s.app.Get("/v1/models", s.handle(s.models))
@@ -107,6 +122,7 @@
 		WriteTime:    responseWriteTime,
 		Logger:       s.opts.Logger, Metrics: s.opts.Metrics,
 	})
+	s.listener.Store(bounded)
 	server := bounded.Server(s.app)
 	server.IdleTimeout = idleTimeout
 	server.ErrorLog = slog.NewLogLogger(s.opts.Logger.Handler(), slog.LevelWarn)
@@ -141,6 +157,8 @@
 	controller *http.ResponseController
 	service    string
 	path       string
+	// bodyMemory is the memory taken for the body.
+	bodyMemory int64
 }
 
 // handle adapts serve to iris and writes its error as an error response.
@@ -154,6 +172,7 @@
 			service:    ctx.Params().Get("service"),
 			path:       "/" + strings.TrimPrefix(ctx.Params().Get("path"), "/"),
 		}
+		defer func() { s.bodies.Release(x.bodyMemory) }()
 		err := s.serve(x, serve)
 		if err == nil {
 			return
@@ -230,11 +249,19 @@
 	if err := x.controller.SetReadDeadline(time.Now().Add(readBodyTimeout)); err != nil {
 		return nil, refusal.NotRun(refusal.CauseInternal, "the connection takes no deadline").WithError(err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, limit))
+	arrived := inbound.AwaitClient(x.request)
+	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
+	body, err := bodymem.Read(reader, bodymem.Bound(limit, x.request.ContentLength), func(bytes int64) bool { return s.takeBodyMemory(x, bytes) })
+	arrived()
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, refusal.NotRun(refusal.CauseRequestTooLarge, "the body is larger than %d bytes", limit)
 	}
+	if errors.Is(err, bodymem.NoMemoryError{}) {
+		// The rest of the body is not read.
+		x.writer.Header().Set("Connection", "close")
+		return nil, refusal.NotRun(refusal.CauseOverloaded, "memory for bodies used up").WithRetryAfter(memoryRetryAfter).WithError(err)
+	}
 	if err != nil {
 		return nil, refusal.NotRun(refusal.CauseMalformedRequest, "the body did not arrive whole in time").WithError(err)
 	}
@@ -244,6 +271,25 @@
 	return body, nil
 }
 
+// takeBodyMemory takes memory for further bytes of a body, and reports whether it was left. The
+// requests that have kept the router waiting for longest make room for it.
+func (s *Server) takeBodyMemory(x *exchange, bytes int64) bool {
+	memory := bodyCost * bytes
+	for range maxReclaims {
+		if s.bodies.Take(memory) {
+			x.bodyMemory += memory
+			return true
+		}
+		listener := s.listener.Load()
+		if listener == nil || !listener.Reclaim() {
+			return false
+		}
+		// Their handlers give the memory back.
+		time.Sleep(reclaimInterval)
+	}
+	return false
+}
+
 // dispatch runs the request. It returns the error when the response has not begun.
 // After that, it ends a stream with an error event and aborts the connection of any
 // other response.
