--- a/cmd/jackdaw-standin/main.go
+++ b/cmd/jackdaw-standin/main.go
@@ -16,8 +16,11 @@
 
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"jackdawswitch/bodymem"
+	"jackdawswitch/inbound"
 	"jackdawswitch/quickstart"
 	"jackdawswitch/standin"
 )
@@ -69,43 +72,64 @@
 }
 
 func serveAll(ctx context.Context, group *errgroup.Group, set quickstart.StandinSettings, logger *slog.Logger) {
-	startServer := func(address, name string, handler http.Handler) {
-		if address == "" {
-			return
+	handlers := make(map[string]http.Handler)
+	add := func(address, name string, handler http.Handler) {
+		if address != "" {
+			handlers[address] = handler
+			logger.Info("stand-in is being served", "kind", name, "address", address)
 		}
-		group.Go(func() error { return serve(ctx, address, handler) })
-		logger.Info("stand-in is being served", "kind", name, "address", address)
 	}
-	startServer(set.Table, "table", standin.NewTable())
-	startServer(set.ObjectStore, "object store", standin.NewObjectStore())
+	add(set.Table, "table", standin.NewTable())
+	add(set.ObjectStore, "object store", standin.NewObjectStore())
 	vms := standin.NewVMList()
 	for _, vm := range set.LiveVMs() {
 		vms.Set(vm.ID, vm.State)
 	}
-	startServer(set.VMList, "VM list", vms)
+	add(set.VMList, "VM list", vms)
 	for _, engine := range set.Engines {
-		startServer(engine.ListenAddress, "engine", standin.NewEngine(engine.Options))
+		add(engine.ListenAddress, "engine", standin.NewEngine(engine.Options))
 	}
 	for _, address := range set.PlainServices {
-		startServer(address, "plain service", standin.NewPlainService())
+		add(address, "plain service", standin.NewPlainService())
+	}
+	limits := inbound.Machine{}.Shared(len(handlers))
+	bodies := bodymem.NewBudget(inbound.Machine{}.Memory() / bodyMemoryShare)
+	for address, handler := range handlers {
+		group.Go(func() error { return serve(ctx, address, standin.LimitBodies(handler, bodies), limits, logger) })
 	}
 }
 
-const readHeaderTimeout = 10 * time.Second
+const (
+	readHeaderTimeout = 10 * time.Second
+	readTimeout       = time.Minute
+	idleTimeout       = 2 * time.Minute
+	writeTimeout      = time.Minute
+	maxHeadBytes      = 64 << 10
+
+	// bodyMemoryShare is the divisor of the process's memory that gives the memory for bodies of
+	// requests.
+	bodyMemoryShare = 4
+)
 
-func serve(ctx context.Context, address string, handler http.Handler) error {
+func serve(ctx context.Context, address string, handler http.Handler, limits inbound.Limits, logger *slog.Logger) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-	}
+	bounded := inbound.NewListener(listener, inbound.Options{
+		Name: address, Limits: limits,
+		Times:        func() inbound.Times { return inbound.Times{Head: readHeaderTimeout, Idle: idleTimeout} },
+		MaxHeadBytes: func() int { return maxHeadBytes },
+		Kept:         idleTimeout,
+		WriteTime:    writeTimeout,
+		Logger:       logger, Metrics: tally.NoopScope,
+	})
+	server := bounded.Server(handler)
+	server.ReadTimeout, server.IdleTimeout = readTimeout, idleTimeout
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		return errors.WithStack(err)
 	}
 	return nil
