Other routers of a large fleet stay within the limits of their listener

A client inside the limits must not meet one.

Cause: an eighth of the memory, with four buffers of 64 KB for each connection. Most of that is never used, as what another process sends is read at once.

Change: a sixth of the memory, 36 KB a connection, and the descriptors that callers leave: 530 on a VM of 112 MB and 4,100 descriptors. Memory for requests is reclaimed from requests that wait only, not from connections that hold none; a connection isn't ended for lateness, nor a silent one to make room, if bytes of its client lie unread, as then the process is late.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -274,11 +274,19 @@
 	return c.cost
 }
 
-// endIf closes the connection if it is still in a state, and no byte has come that the process
-// hasn't read. It reports whether it did.
+// endIf closes the connection if it is still in a state, and reports whether it did. It doesn't if it
+// is the process that is late: a request has come, or a head goes on, that it hasn't read.
 func (c *Conn) endIf(s state, why cause) bool {
-	if s.phase == kept && HasUnread(c.Conn) {
-		return false
+	switch s.phase {
+	case fresh, kept:
+		if HasUnread(c.Conn) {
+			return false
+		}
+	case receiving:
+		if why == causeHeadTime && HasUnread(c.Conn) {
+			return false
+		}
+	case handling, waiting:
 	}
 	c.mu.Lock()
 	unchanged := c.stateLocked() == s && !c.ended
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -16,21 +16,28 @@
 	// defaultMemoryBytes is the memory of a machine whose settings name none.
 	defaultMemoryBytes = 256 << 20
 
-	// callerBufferBytes and processBufferBytes are the sizes of each buffer of a connection in the
-	// kernel, of clients and of other processes. They bound what one connection transfers in a round
-	// trip; those between processes carry large messages between regions.
-	callerBufferBytes  = 16 << 10
-	processBufferBytes = 64 << 10
+	// kernelBufferBytes is the size of each buffer of a connection in the kernel. It bounds what one
+	// connection transfers in a round trip.
+	kernelBufferBytes = 16 << 10
 
 	// connectionBytes is the memory of one open connection within the process: stacks and buffers.
-	// The kernel's two buffers come on top.
 	connectionBytes = 20 << 10
 
+	// callerBytes and processBytes are the memory of one open connection with what lies in the kernel.
+	// A caller may fill both buffers. What another process sends is read at once.
+	callerBytes  = connectionBytes + 2*kernelBufferBytes
+	processBytes = connectionBytes + kernelBufferBytes
+
+	// ownSockets are the connections of the process beside those to endpoints: to the store and to
+	// other processes.
+	ownSockets = 18
+
 	// callerShare is the divisor of the memory that gives the memory for connections of callers,
-	// processShare that for those of other processes and of operators. headShare, messageShare
-	// and checkHeadShare are those for heads and messages that aren't complete.
+	// processShare that for those of other processes, and checkShare that for those of operators.
+	// headShare, messageShare and checkHeadShare are those for heads and messages that aren't complete.
 	callerShare    = 4
-	processShare   = 8
+	processShare   = 6
+	checkShare     = 8
 	headShare      = 16
 	messageShare   = 8
 	checkHeadShare = 64
@@ -81,45 +88,50 @@
 // connection, to an endpoint, and the other listeners need some.
 func (m Machine) Callers() Limits {
 	const numerator, denominator = 3, 8
-	return m.limits(m.sockets()*numerator/denominator, callerShare, callerBufferBytes)
+	return Limits{
+		Connections:     m.connections(m.sockets()*numerator/denominator, callerShare, callerBytes),
+		HeadMemoryBytes: m.Memory() / headShare, KernelBufferBytes: kernelBufferBytes,
+	}
 }
 
-// Processes returns the limits of a listener for other processes.
+// Processes returns the limits of a listener for other processes. They have the descriptors that the
+// other listeners leave.
 func (m Machine) Processes() Limits {
-	const divisor = 8
-	out := m.limits(m.sockets()/divisor, processShare, processBufferBytes)
-	out.HeadMemoryBytes = m.Memory() / messageShare
-	return out
+	left := m.sockets() - 2*m.Callers().Connections - 2*m.Checks().Connections - ownSockets
+	return Limits{
+		Connections:     m.connections(left, processShare, processBytes),
+		HeadMemoryBytes: m.Memory() / messageShare, KernelBufferBytes: kernelBufferBytes,
+	}
 }
 
 // Shared returns the limits of one of several listeners of a process that opens few connections
 // itself.
 func (m Machine) Shared(listeners int) Limits {
 	const numerator, denominator = 3, 4
-	out := m.limits(m.sockets()*numerator/denominator/max(listeners, 1), callerShare*max(listeners, 1), callerBufferBytes)
-	out.HeadMemoryBytes /= int64(max(listeners, 1))
-	return out
+	listeners = max(listeners, 1)
+	return Limits{
+		Connections:     m.connections(m.sockets()*numerator/denominator/listeners, callerShare*listeners, callerBytes),
+		HeadMemoryBytes: m.Memory() / headShare / int64(listeners), KernelBufferBytes: kernelBufferBytes,
+	}
 }
 
 // Checks returns the limits of a listener for readiness checks or for operators: some clients that
 // each use a connection or two.
 func (m Machine) Checks() Limits {
 	const connections, divisor = 64, 25
-	out := m.limits(min(connections, m.sockets()/divisor), processShare, callerBufferBytes)
-	out.HeadMemoryBytes = m.Memory() / checkHeadShare
-	return out
-}
-
-// limits returns limits of at most so many connections, whose memory is a share of all.
-func (m Machine) limits(connections, share, bufferBytes int) Limits {
-	affordable := m.Memory() / int64(share) / int64(connectionBytes+2*bufferBytes)
 	return Limits{
-		Connections:       max(1, min(connections, int(min(affordable, math.MaxInt32)))),
-		HeadMemoryBytes:   m.Memory() / headShare,
-		KernelBufferBytes: bufferBytes,
+		Connections:     m.connections(min(connections, m.sockets()/divisor), checkShare, callerBytes),
+		HeadMemoryBytes: m.Memory() / checkHeadShare, KernelBufferBytes: kernelBufferBytes,
 	}
 }
 
+// connections returns a number of connections that is affordable: of so many bytes each they fit into
+// a share of the memory.
+func (m Machine) connections(count, share int, bytes int64) int {
+	affordable := m.Memory() / int64(share) / bytes
+	return max(1, min(count, int(min(affordable, math.MaxInt32))))
+}
+
 // Times are how long a client may take.
 type Times struct {
 	// Head is the time from the first byte of a head or message to its last one, Idle that which a
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -167,7 +167,7 @@
 	l.mu.Lock()
 	full := len(l.open) >= l.opts.Limits.Connections
 	l.mu.Unlock()
-	if full && !l.makeRoom(rankKept, max(1, l.opts.Limits.Connections/victimShare)) {
+	if full && !l.makeRoom(anyState, rankKept, max(1, l.opts.Limits.Connections/victimShare)) {
 		l.count(causeFull)
 		return false
 	}
@@ -180,15 +180,16 @@
 // Reclaim ends the requests that have waited for their clients for longest. It reports whether there
 // were any, whose memory becomes free soon.
 func (l *Listener) Reclaim() bool {
-	return l.makeRoom(rankBrief, max(1, l.opts.Limits.Connections/victimShare))
+	isWaiting := func(s state) bool { return s.phase == waiting }
+	return l.makeRoom(isWaiting, rankBrief, max(1, l.opts.Limits.Connections/victimShare))
 }
 
-// makeRoom ends up to count connections of a rank up to worst, and reports whether it ended any. Of
-// those that have kept the process waiting for less than patience it ends one at a time, as their
-// clients may have done nothing wrong.
-func (l *Listener) makeRoom(worst, count int) bool {
+// makeRoom ends up to count connections of a rank up to worst, if only returns true for them, and
+// reports whether it ended any. Of those that have kept the process waiting for less than patience it
+// ends one at a time, as their clients may have done nothing wrong.
+func (l *Listener) makeRoom(only func(state) bool, worst, count int) bool {
 	now := time.Now()
-	conns, states := l.snapshot()
+	conns, states := l.snapshot(only)
 	list := victims(now, states, min(worst, rankSlow), count)
 	if len(list) == 0 {
 		list = victims(now, states, worst, 1)
@@ -202,16 +203,21 @@
 	return ended
 }
 
-func (l *Listener) snapshot() ([]*Conn, []state) {
+func anyState(state) bool { return true }
+
+// snapshot returns the open connections in states for which only returns true.
+func (l *Listener) snapshot(only func(state) bool) ([]*Conn, []state) {
 	l.mu.Lock()
-	conns := make([]*Conn, 0, len(l.open))
+	open := make([]*Conn, 0, len(l.open))
 	for c := range l.open {
-		conns = append(conns, c)
+		open = append(open, c)
 	}
 	l.mu.Unlock()
-	states := make([]state, len(conns))
-	for i, c := range conns {
-		states[i] = c.state()
+	conns, states := open[:0], make([]state, 0, len(open))
+	for _, c := range open {
+		if s := c.state(); only(s) {
+			conns, states = append(conns, c), append(states, s)
+		}
 	}
 	return conns, states
 }
@@ -224,7 +230,7 @@
 		return true
 	}
 	now := time.Now()
-	conns, states := l.snapshot()
+	conns, states := l.snapshot(anyState)
 	for _, i := range victims(now, states, rankKept, len(states)) {
 		if rank := states[i].rank(now); rank > rankSlow && rank != rankKept || conns[i].headCost() == 0 {
 			continue
@@ -311,7 +317,7 @@
 }
 
 func (l *Listener) sweep(now time.Time) {
-	conns, states := l.snapshot()
+	conns, states := l.snapshot(anyState)
 	times := l.opts.Times()
 	for i, s := range states {
 		switch age := now.Sub(s.since); {
