Silent connections don't keep other processes from a TLS handshake

600 connections that send nothing to a listener with mutual TLS kept a process from its handshake for longer than the 5 s that it waits (TestProofSilentConnectionsDoNotKeepOthersFromAHandshake failed before).

Cause: at 256 handshakes in progress nothing more was accepted until one had timed out.

Change: at 64 the oldest one ends.

--- a/secure/network.go
+++ b/secure/network.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -18,8 +19,10 @@
 )
 
 const (
-	handshakeTimeout     = 5 * time.Second
-	maxPendingHandshakes = 256
+	handshakeTimeout = 5 * time.Second
+
+	// maxPendingHandshakes bounds the handshakes in progress. Beyond it, the oldest one ends.
+	maxPendingHandshakes = 64
 
 	// minAcceptDelay and maxAcceptDelay bound the delay after an error of Accept.
 	minAcceptDelay = 5 * time.Millisecond
@@ -113,7 +116,6 @@
 		ready:        make(chan net.Conn),
 		done:         make(chan struct{}),
 		acceptFailed: make(chan struct{}),
-		pending:      make(chan struct{}, maxPendingHandshakes),
 	}
 	go l.acceptLoop()
 	return l, nil
@@ -140,8 +142,9 @@
 	net.Listener
 	config *tls.Config
 	ready  chan net.Conn
-	// pending holds one element for each handshake in progress.
-	pending   chan struct{}
+	mu     sync.Mutex
+	// pending are the connections whose handshake is in progress, the oldest first.
+	pending   []net.Conn
 	done      chan struct{}
 	closeOnce sync.Once
 	// acceptFailed is closed once acceptErr is set.
@@ -164,12 +167,27 @@
 			return
 		}
 		retry.Reset()
-		select {
-		case l.pending <- struct{}{}:
-			go l.handshake(conn)
-		case <-l.done:
-			_ = conn.Close()
-		}
+		l.begin(conn)
+		go l.handshake(conn)
+	}
+}
+
+// begin records a handshake. If there are too many, the oldest one ends, as it takes longest.
+func (l *listener) begin(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending) >= maxPendingHandshakes {
+		_ = l.pending[0].Close()
+		l.pending = l.pending[1:]
+	}
+	l.pending = append(l.pending, conn)
+}
+
+func (l *listener) end(conn net.Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if i := slices.Index(l.pending, conn); i >= 0 {
+		l.pending = slices.Delete(l.pending, i, i+1)
 	}
 }
 
@@ -184,11 +202,12 @@
 }
 
 func (l *listener) handshake(conn net.Conn) {
-	defer func() { <-l.pending }()
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	tlsConn := tls.Server(conn, l.config)
-	if err := tlsConn.HandshakeContext(ctx); err != nil {
+	err := tlsConn.HandshakeContext(ctx)
+	l.end(conn)
+	if err != nil {
 		_ = conn.Close()
 		return
 	}
--- a/secure/network_test.go
+++ b/secure/network_test.go
@@ -273,3 +273,36 @@
 		}
 	})
 }
+
+// Guards against connections without a handshake that keep others from one.
+func TestProofSilentConnectionsDoNotKeepOthersFromAHandshake(t *testing.T) {
+	dir := t.TempDir()
+	credentials := load(t, newAuthority(t, dir).issue(t, "a", 2))
+	network := NewNetwork(rpc.TCP{}, credentials)
+	listener, err := network.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	accepted := make(chan struct{})
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			close(accepted)
+			_ = conn.Close()
+		}
+	}()
+	const crowd = 600
+	for range crowd {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	conn, err := network.Dial(t.Context(), listener.Addr().String())
+	if err != nil {
+		t.Fatalf("no handshake beside %d silent connections: %v", crowd, err)
+	}
+	defer func() { _ = conn.Close() }()
+	<-accepted
+}
