The quickstart's stand-ins are bounded as those of jackdaw-standin

jackdawctl quickstart serves the same stand-ins with a server of its own, without limits. The bounds moved to package standin, which both use. The read timeout of a minute that came with them is gone: it would have ended responses that take longer, as the server stops to watch the connection; a body that doesn't come ends after two minutes.

--- a/cmd/jackdaw-standin/main.go
+++ b/cmd/jackdaw-standin/main.go
@@ -12,15 +12,11 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/integrii/flaggy"
 	"github.com/pkg/errors"
-	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
-	"jackdawswitch/bodymem"
-	"jackdawswitch/inbound"
 	"jackdawswitch/quickstart"
 	"jackdawswitch/standin"
 )
@@ -92,40 +88,18 @@
 	for _, address := range set.PlainServices {
 		add(address, "plain service", standin.NewPlainService())
 	}
-	limits := inbound.Machine{}.Shared(len(handlers))
-	bodies := bodymem.NewBudget(inbound.Machine{}.Memory() / bodyMemoryShare)
+	bounds := standin.NewBounds(len(handlers), logger)
 	for address, handler := range handlers {
-		group.Go(func() error { return serve(ctx, address, standin.LimitBodies(handler, bodies), limits, logger) })
+		group.Go(func() error { return serve(ctx, address, bounds, handler) })
 	}
 }
 
-const (
-	readHeaderTimeout = 10 * time.Second
-	readTimeout       = time.Minute
-	idleTimeout       = 2 * time.Minute
-	writeTimeout      = time.Minute
-	maxHeadBytes      = 64 << 10
-
-	// bodyMemoryShare is the divisor of the process's memory that gives the memory for bodies of
-	// requests.
-	bodyMemoryShare = 4
-)
-
-func serve(ctx context.Context, address string, handler http.Handler, limits inbound.Limits, logger *slog.Logger) error {
+func serve(ctx context.Context, address string, bounds *standin.Bounds, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	bounded := inbound.NewListener(listener, inbound.Options{
-		Name: address, Limits: limits,
-		Times:        func() inbound.Times { return inbound.Times{Head: readHeaderTimeout, Idle: idleTimeout} },
-		MaxHeadBytes: func() int { return maxHeadBytes },
-		Kept:         idleTimeout,
-		WriteTime:    writeTimeout,
-		Logger:       logger, Metrics: tally.NoopScope,
-	})
-	server := bounded.Server(handler)
-	server.ReadTimeout, server.IdleTimeout = readTimeout, idleTimeout
+	server, bounded := bounds.Server(listener, handler)
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
--- a/quickstart/standins.go
+++ b/quickstart/standins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -20,8 +21,6 @@
 	prefillTime      = 20 * time.Microsecond
 	// resumeTime is how long a request keeps running without a reader.
 	resumeTime = 5 * time.Second
-
-	readHeaderTimeout = 5 * time.Second
 )
 
 // Standins are the running stand-ins of a layout, served on its addresses.
@@ -65,8 +64,9 @@
 	for i, address := range layout.EndpointAddresses {
 		s.addEndpoint(handlers, address, layout.isPlain(i), tokenTime)
 	}
+	bounds := standin.NewBounds(len(handlers), slog.New(slog.DiscardHandler))
 	for address, handler := range handlers {
-		if err := s.startServer(ctx, address, handler); err != nil {
+		if err := s.startServer(ctx, address, bounds, handler); err != nil {
 			stop()
 			return nil, err
 		}
@@ -95,15 +95,15 @@
 	}
 }
 
-func (s *Standins) startServer(ctx context.Context, address string, handler http.Handler) error {
+func (s *Standins) startServer(ctx context.Context, address string, bounds *standin.Bounds, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.WithStack(&PortError{Err: err})
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	server, bounded := bounds.Server(listener, handler)
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	s.servers.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
