A slow reader of an answer keeps its connection

Change: a request that may run makes room only after five seconds in which its client takes nothing of the answer; responses are written in parts of 16 KB, so that this is known.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"jackdawswitch/inbound"
 	"jackdawswitch/refusal"
 	"jackdawswitch/routing"
 	"jackdawswitch/streamorigin"
@@ -94,6 +95,7 @@
 // run sends the request to endpoints until one answers or no further attempt is
 // allowed. Its error is a *refusal.Error.
 func (x *exchange) run(ctx context.Context) error {
+	inbound.MayRun(x.request)
 	for {
 		if err := x.checkStall(); err != nil {
 			return x.giveUpBeforeSending(refusal.FromError(err))
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -13,6 +13,10 @@
 )
 
 const (
+	// writePartBytes is the size of the parts in which responses are written, so that a client that
+	// takes some of a large one is known to do so.
+	writePartBytes = 16 << 10
+
 	// refusalTime bounds the write of a refusal, and then the wait for the client to take it.
 	refusalTime = 500 * time.Millisecond
 	// refusedBytes is how much of what a refused client goes on to send is read, so that the
@@ -39,8 +43,10 @@
 	since      time.Time
 	waits      int
 	waitsSince time.Time
-	head       headScanner
-	message    messageScanner
+	// answer is set once the request may have run, until it ends.
+	answer  bool
+	head    headScanner
+	message messageScanner
 	// messageSince is when the message began that isn't complete.
 	messageSince time.Time
 	// cost is the memory taken for the head or message.
@@ -185,8 +191,19 @@
 }
 
 // Write implements net.Conn. It doesn't wait for a client that doesn't read for longer than the
-// server's deadline or, without one, Options.WriteTime.
+// server's deadline or, without one, Options.WriteTime for each part.
 func (c *Conn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.writePart(b[written:min(len(b), written+writePartBytes)])
+		written += n
+		if err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+func (c *Conn) writePart(b []byte) (int, error) {
 	c.beginWait()
 	defer c.endWait()
 	c.mu.Lock()
@@ -240,7 +257,7 @@
 // setPhase records the phase that a server tells.
 func (c *Conn) setPhase(p phase) {
 	c.mu.Lock()
-	c.current, c.since, c.waits = p, time.Now(), 0
+	c.current, c.since, c.waits, c.answer = p, time.Now(), 0, c.listener.opts.Messages
 	c.head = headScanner{}
 	var cost int64
 	if p == kept && !c.listener.opts.Messages {
@@ -257,7 +274,7 @@
 }
 
 func (c *Conn) stateLocked() state {
-	out := state{phase: c.current, since: c.since, keptFor: c.listener.opts.Kept}
+	out := state{phase: c.current, since: c.since, keptFor: c.listener.opts.Kept, answer: c.answer}
 	switch {
 	case c.current != handling:
 	case c.waits > 0:
@@ -340,6 +357,18 @@
 	return c.endWait
 }
 
+// MayRun records that a request may run from now on: its connection makes room for others only if its
+// client takes nothing of the answer for longer.
+func MayRun(r *http.Request) {
+	c, _ := r.Context().Value(connKey{}).(*Conn)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answer = true
+}
+
 // HasUnread reports whether a connection has bytes, or a listener connections, that the process
 // hasn't read or accepted yet. It reports false if that can't be told.
 func HasUnread(socket any) bool {
--- a/inbound/rank.go
+++ b/inbound/rank.go
@@ -11,8 +11,13 @@
 	// others. A request arrives at once, or within some round trips.
 	patience = time.Second
 
-	// briefTime is how long a request may wait for its client until its connection makes room for
-	// others if nothing else does.
+	// answerPatience is the same for a request that an endpoint may have run: its client loses the
+	// answer. One that reads slowly takes some of it in that time, though its kernel tells of that in
+	// steps of half a buffer.
+	answerPatience = 5 * time.Second
+
+	// briefTime is how long any other request may wait for its client until its connection makes room
+	// if nothing else does.
 	briefTime = 100 * time.Millisecond
 
 	// silentTime is how long a call between processes may go without a byte until its connection
@@ -44,6 +49,8 @@
 	since time.Time
 	// keptFor is how long the client may use the connection again after a request.
 	keptFor time.Duration
+	// answer is set if the request may have run.
+	answer bool
 }
 
 // The ranks in which connections make room for others, the first one first.
@@ -73,10 +80,10 @@
 		}
 		return rankSilent
 	case waiting:
-		if age >= patience {
+		switch {
+		case age >= answerPatience, age >= patience && !s.answer:
 			return rankSlow
-		}
-		if age >= briefTime {
+		case age >= briefTime && !s.answer:
 			return rankBrief
 		}
 	case kept:
--- a/inbound/rank_test.go
+++ b/inbound/rank_test.go
@@ -25,6 +25,8 @@
 		9: ago(kept, 3*time.Second),
 		// It has waited for less than briefTime.
 		10: ago(waiting, 50*time.Millisecond),
+		// The client takes its answer slowly.
+		11: {phase: waiting, since: now.Add(-4900 * time.Millisecond), answer: true},
 	}
 	if got, want := victims(now, states, rankNever-1, len(states)), []int{9, 8, 7, 6, 5, 4, 3, 2, 1}; !slices.Equal(got, want) {
 		t.Errorf("victims %v, want %v", got, want)
--- a/router/callers/callers.go
+++ b/router/callers/callers.go
@@ -296,6 +296,7 @@
 func (s *Server) dispatch(x *exchange, req *dispatch.Request) error {
 	responseSink := newSink(x.writer, x.controller)
 	x.writer.Header().Set(headerRequestID, req.ID)
+	inbound.MayRun(x.request)
 	started := time.Now()
 	ctx, cancel := context.WithDeadline(x.request.Context(), req.Deadline)
 	defer cancel()
