Large responses that callers don't read leave memory for small requests

Cause: the memory beyond three quarters was for responses only, however large.

Change: responses may fill seven eighths; the rest is for requests of up to 17 KB with what is expected of them. TestProofLargeResponsesLeaveMemoryForSmallRequests failed before ("a small request is refused").

--- a/direct/bodybudget.go
+++ b/direct/bodybudget.go
@@ -22,8 +22,12 @@
 	maxResponseShare = 4
 
 	// A new request may fill the memory up to admitNumerator/admitDenominator. The rest is
-	// for responses that are larger than expected.
-	admitNumerator, admitDenominator = 3, 4
+	// for responses that are larger than expected, but for one part of responseDenominator: that is for
+	// small requests only, up to smallRequestBytes at a time, which callers that don't read large
+	// responses then can't turn away.
+	admitNumerator, admitDenominator       = 3, 4
+	responseNumerator, responseDenominator = 7, 8
+	smallRequestBytes                      = requestOverheadBytes + 1<<10
 
 	// requestOverheadBytes is the memory of one request without its bodies: buffers of two
 	// connections and of a stream, and stacks.
@@ -82,11 +86,16 @@
 
 // admit takes bytes for a new request, and reports whether they were left.
 func (b *bodyBudget) admit(bytes int64) bool {
+	if bytes <= smallRequestBytes {
+		return b.takeUpTo(b.limit, bytes)
+	}
 	return b.takeUpTo(b.limit/admitDenominator*admitNumerator, bytes)
 }
 
 // take takes bytes for a request that was admitted, and reports whether they were left.
-func (b *bodyBudget) take(bytes int64) bool { return b.takeUpTo(b.limit, bytes) }
+func (b *bodyBudget) take(bytes int64) bool {
+	return b.takeUpTo(b.limit/responseDenominator*responseNumerator, bytes)
+}
 
 func (b *bodyBudget) takeUpTo(limit, bytes int64) bool {
 	b.mu.Lock()
--- a/direct/bodybudget_test.go
+++ b/direct/bodybudget_test.go
@@ -147,3 +147,20 @@
 
 // Read implements io.Reader.
 func (neverEnding) Read(buf []byte) (int, error) { return len(buf), nil }
+
+// Guards against large responses that their callers don't read and that turn small requests away.
+func TestProofLargeResponsesLeaveMemoryForSmallRequests(t *testing.T) {
+	b := newBodyBudget(bodyMemoryShare * (8 << 20))
+	large := bodyHold{budget: b}
+	for large.grow(1 << 20) {
+	}
+	small := bodyHold{budget: b}
+	if !small.admit(requestOverheadBytes) || !small.growNew(smallBody) {
+		t.Errorf("a small request is refused with %d of %d bytes in use", b.inUse(), b.limit)
+	}
+	if large.grow(1 << 20) {
+		t.Error("a response takes what is left for small requests")
+	}
+}
+
+const smallBody = 1 << 10
