Router with agents: a stop serves kept connections and answers slow bodies

Cause: http.Server.Shutdown closes idle connections at once. A refusal waits for the rest of a body for the 20 s of bodies, and a body that is read isn't ended by the stop.

Change: responses say Keep-Alive: timeout=2, and Connection: close once the router stops; Shutdown waits until no caller may use its connection any more, as package inbound knows, within drainSeconds. A refusal waits 3 s for a body. At the end of the stop a body that is read ends with 503, not run.

--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -268,6 +268,16 @@
 	delete(l.open, c)
 }
 
+// Unclaimed returns the number of connections on which clients may send a request, as they were told
+// when they got their last response, or as they are new.
+func (l *Listener) Unclaimed() int {
+	now := time.Now()
+	conns, _ := l.snapshot(func(s state) bool {
+		return s.phase == kept && now.Sub(s.since) < s.keptFor || s.phase == fresh && now.Sub(s.since) < patience
+	})
+	return len(conns)
+}
+
 // TrackState is the ConnState hook of a server of HTTP. It finds connections of the listener also
 // within others.
 func (l *Listener) TrackState(conn net.Conn, httpState http.ConnState) {
--- a/inbound/listener_test.go
+++ b/inbound/listener_test.go
@@ -60,7 +60,8 @@
 			}
 		}
 	}()
-	got, lastErr := 0, error(nil)
+	got := 0
+	var lastErr error
 	buf := make([]byte, part)
 	for {
 		n, err := conn.Read(buf)
--- a/router/callers/callers.go
+++ b/router/callers/callers.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -29,9 +30,27 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	readBodyTimeout   = 20 * time.Second
-	idleTimeout       = 2 * time.Minute
-	abortTimeout      = 2 * time.Second
-	maxHeaderBytes    = 32 << 10
+
+	// refusedBodyTimeout bounds the time for which the rest of a body is read that a refusal leaves
+	// unread.
+	refusedBodyTimeout = 3 * time.Second
+
+	idleTimeout    = 2 * time.Minute
+	abortTimeout   = 2 * time.Second
+	maxHeaderBytes = 32 << 10
+
+	// callerIdleTime is how long callers may leave a connection idle between two requests, in whole
+	// seconds, as responses tell them, and callerIdleMargin the time until a request that was sent at
+	// its end is read.
+	callerIdleTime   = 2 * time.Second
+	callerIdleMargin = 300 * time.Millisecond
+
+	// stoppingRetryAfter is when a caller may send a request again that a stop has ended.
+	stoppingRetryAfter = time.Second
+
+	// unclaimedInterval is how often a router that stops looks for connections on which a request
+	// may still come.
+	unclaimedInterval = 20 * time.Millisecond
 
 	// responseWriteTime bounds one write of a response for which no deadline is set.
 	responseWriteTime = 10 * time.Second
@@ -79,6 +98,8 @@
 	opts   Options
 	app    *iris.Application
 	bodies *bodymem.Budget
+	// stopping is set once responses end their connections.
+	stopping atomic.Bool
 	// listener is nil before Serve.
 	listener atomic.Pointer[inbound.Listener]
 }
@@ -118,7 +139,7 @@
 		Name: "callers", Limits: s.opts.Machine.Callers(),
 		Times:        func() inbound.Times { return inbound.Times{Head: readHeaderTimeout, Idle: idleTimeout} },
 		MaxHeadBytes: func() int { return maxHeaderBytes },
-		Kept:         idleTimeout,
+		Kept:         callerIdleTime + callerIdleMargin,
 		WriteTime:    responseWriteTime,
 		Logger:       s.opts.Logger, Metrics: s.opts.Metrics,
 	})
@@ -136,11 +157,14 @@
 	}
 	drainCtx, cancelDrain := context.WithTimeout(force, drain)
 	defer cancelDrain()
+	s.stopping.Store(true)
+	_ = bounded.Close()
+	awaitUnclaimed(drainCtx, bounded)
 	err := server.Shutdown(drainCtx)
 	if err == nil {
 		return nil
 	}
-	cancelRequests(refusal.MayHaveRun(refusal.CauseStopping, "the router stops").WithRetryAfter(time.Second))
+	cancelRequests(refusal.MayHaveRun(refusal.CauseStopping, "the router stops").WithRetryAfter(stoppingRetryAfter))
 	abortCtx, cancelAbort := context.WithTimeout(context.Background(), abortTimeout)
 	defer cancelAbort()
 	if err := server.Shutdown(abortCtx); err != nil {
@@ -149,6 +173,29 @@
 	return nil
 }
 
+// awaitUnclaimed waits until callers send no request on their connections any more, or ctx ends.
+// Shutdown would close them at once.
+func awaitUnclaimed(ctx context.Context, listener *inbound.Listener) {
+	ticker := time.NewTicker(unclaimedInterval)
+	defer ticker.Stop()
+	for listener.Unclaimed() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// announceConnection tells the caller whether it may use the connection for another request.
+func (s *Server) announceConnection(header http.Header) {
+	if s.stopping.Load() {
+		header.Set("Connection", "close")
+		return
+	}
+	header.Set("Keep-Alive", "timeout="+strconv.Itoa(int(callerIdleTime/time.Second)))
+}
+
 // exchange is one HTTP request and its response.
 type exchange struct {
 	id         string
@@ -173,6 +220,7 @@
 			path:       "/" + strings.TrimPrefix(ctx.Params().Get("path"), "/"),
 		}
 		defer func() { s.bodies.Release(x.bodyMemory) }()
+		s.announceConnection(x.writer.Header())
 		err := s.serve(x, serve)
 		if err == nil {
 			return
@@ -182,10 +230,20 @@
 		}
 		rerr := refusal.FromError(err)
 		s.recordRefusal(x, rerr)
+		s.announceConnection(x.writer.Header())
+		x.boundUnreadBody()
 		writeErrorResponse(x.writer, x.id, rerr)
 	}
 }
 
+// boundUnreadBody bounds the time that a body takes which a refusal leaves unread: net/http reads the
+// rest of it before it sends the refusal.
+func (x *exchange) boundUnreadBody() {
+	if x.request.ContentLength != 0 {
+		_ = x.controller.SetReadDeadline(time.Now().Add(refusedBodyTimeout))
+	}
+}
+
 // serve handles one request. A panic becomes its error, so that the caller gets an answer and the
 // log has the cause.
 func (s *Server) serve(x *exchange, serve func(*exchange) error) (err error) {
@@ -249,6 +307,8 @@
 	if err := x.controller.SetReadDeadline(time.Now().Add(readBodyTimeout)); err != nil {
 		return nil, refusal.NotRun(refusal.CauseInternal, "the connection takes no deadline").WithError(err)
 	}
+	// The end of a stop doesn't wait for the body.
+	defer context.AfterFunc(x.request.Context(), func() { _ = x.controller.SetReadDeadline(time.Now()) })()
 	arrived := inbound.AwaitClient(x.request)
 	reader := http.MaxBytesReader(x.writer, x.request.Body, limit)
 	body, err := bodymem.Read(reader, bodymem.Bound(limit, x.request.ContentLength), func(bytes int64) bool { return s.takeBodyMemory(x, bytes) })
@@ -262,6 +322,9 @@
 		x.writer.Header().Set("Connection", "close")
 		return nil, refusal.NotRun(refusal.CauseOverloaded, "memory for bodies used up").WithRetryAfter(memoryRetryAfter).WithError(err)
 	}
+	if err != nil && s.stopping.Load() && x.request.Context().Err() != nil {
+		return nil, refusal.NotRun(refusal.CauseStopping, "the router stops").WithRetryAfter(stoppingRetryAfter).WithError(err)
+	}
 	if err != nil {
 		return nil, refusal.NotRun(refusal.CauseMalformedRequest, "the body did not arrive whole in time").WithError(err)
 	}
--- a/router/callers/stop_test.go
+++ b/router/callers/stop_test.go
@@ -108,3 +108,34 @@
 	}
 	_ = resp.Body.Close()
 }
+
+// Guards against a body that is still read at the end of a stop and keeps its refusal back.
+func TestABodyThatIsReadAtTheEndOfAStopIsRefusedAsNotRun(t *testing.T) {
+	doc := &config.Document{Rules: config.DefaultRules()}
+	doc.Register.Workspaces = []config.Workspace{{ID: "coffee"}}
+	s, err := New(Options{
+		Config: func() (*config.Document, uint64) { return doc, 1 }, Workspace: func(string) (string, bool) { return "coffee", true },
+		Dispatcher: stubDispatcher{}, Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, _ := net.Listen("tcp", "127.0.0.1:0")
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = s.Serve(ctx, context.Background(), l, time.Second) }()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\nContent-Length: 400\r\n\r\n{")
+	time.Sleep(200 * time.Millisecond)
+	cancel()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	body, _ := io.ReadAll(resp.Body)
+	if resp.StatusCode != http.StatusServiceUnavailable || !bytes.Contains(body, []byte("not_run")) {
+		t.Errorf("status %d, %s, want 503 and that it has not run", resp.StatusCode, body)
+	}
+}
