A slow reader gets its whole answer while there is memory

Change: the kernel's size again; what it keeps of responses beyond 16 KB a connection counts to a 16th of the machine's memory, asked of the kernel for each 16 KB written, and a response for which none is left waits for its client, until its deadline. A connection whose client took nothing until then is reset.

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -5,10 +5,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -17,6 +19,12 @@
 	// takes some of a large one is known to do so.
 	writePartBytes = 16 << 10
 
+	// ordinarySendBytes is how much of a response the kernel may keep that doesn't count to the memory
+	// for responses: the memory of each connection has room for it. sendRetryInterval is how often
+	// a response that waits for memory looks whether its client has taken some of it.
+	ordinarySendBytes = kernelBufferBytes
+	sendRetryInterval = 20 * time.Millisecond
+
 	// refusalTime bounds the write of a refusal, and then the wait for the client to take it.
 	refusalTime = 500 * time.Millisecond
 	// refusedBytes is how much of what a refused client goes on to send is read, so that the
@@ -54,8 +62,11 @@
 	// ended is set once the listener has closed the connection. finished is set once it isn't open
 	// for the listener any more.
 	ended, finished bool
-	// writeDeadlineSet is set while the server has set a deadline for writes.
-	writeDeadlineSet bool
+	// writeDeadline is the server's deadline for writes, zero for none.
+	writeDeadline time.Time
+	// written is the most that the kernel may keep of responses: what it kept when it was last asked,
+	// and what was written since. sendCost is the memory taken for that.
+	written, sendCost int64
 }
 
 // SyscallConn implements syscall.Conn.
@@ -207,14 +218,91 @@
 	c.beginWait()
 	defer c.endWait()
 	c.mu.Lock()
-	bounded := c.writeDeadlineSet
+	deadline := c.writeDeadline
 	c.mu.Unlock()
-	if !bounded {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.listener.opts.WriteTime)); err != nil {
+	if deadline.IsZero() {
+		deadline = time.Now().Add(c.listener.opts.WriteTime)
+		if err := c.Conn.SetWriteDeadline(deadline); err != nil {
 			return 0, err
 		}
 	}
-	return c.Conn.Write(b)
+	if err := c.awaitSendMemory(len(b), deadline); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		// The kernel would keep for minutes what the client doesn't take.
+		_ = c.SetLinger(0)
+	}
+	return n, err
+}
+
+// awaitSendMemory takes the memory for what the kernel keeps of a response beyond ordinarySendBytes.
+// A client that reads slowly gets its whole response so, also after its deadline. If no memory is left,
+// it waits until the client has taken some of the response.
+func (c *Conn) awaitSendMemory(bytes int, deadline time.Time) error {
+	c.mu.Lock()
+	c.written += int64(bytes)
+	ordinary := c.written <= ordinarySendBytes
+	c.mu.Unlock()
+	if ordinary {
+		return nil
+	}
+	for {
+		unsent, ok := unsentBytes(c.Conn)
+		if !ok || c.takeSend(unsent+int64(bytes)) {
+			return nil
+		}
+		if !time.Now().Add(sendRetryInterval).Before(deadline) || c.hasEnded() {
+			_ = c.SetLinger(0)
+			return errors.WithStack(os.ErrDeadlineExceeded)
+		}
+		time.Sleep(sendRetryInterval)
+	}
+}
+
+// takeSend takes the memory for so many bytes of responses that the kernel keeps, and reports whether
+// it was left. Giving some back never fails.
+func (c *Conn) takeSend(unsent int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cost := max(unsent-ordinarySendBytes, 0)
+	if c.finished || !c.listener.takeSend(cost-c.sendCost) {
+		return c.finished
+	}
+	c.sendCost, c.written = cost, unsent
+	return true
+}
+
+func (c *Conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended || c.finished
+}
+
+// updateSend gives back the memory for what the client has taken since.
+func (c *Conn) updateSend() {
+	c.mu.Lock()
+	cost := c.sendCost
+	c.mu.Unlock()
+	if cost == 0 {
+		return
+	}
+	if unsent, ok := unsentBytes(c.Conn); ok && unsent < cost {
+		c.takeSend(unsent)
+	}
+}
+
+// unsentBytes returns the bytes of a connection that its other end hasn't taken, and false if that
+// can't be told.
+func unsentBytes(conn net.Conn) (int64, bool) {
+	raw, err := syscallConn(conn)
+	if err != nil {
+		return 0, false
+	}
+	unsent, ioctlErr := 0, error(nil)
+	err = raw.Control(func(fd uintptr) { unsent, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return int64(unsent), err == nil && ioctlErr == nil
 }
 
 // SetDeadline implements net.Conn.
@@ -232,7 +320,7 @@
 func (c *Conn) noteWriteDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writeDeadlineSet = !t.IsZero()
+	c.writeDeadline = t
 }
 
 // beginWait records that the request waits for its client.
@@ -313,6 +401,10 @@
 		return false
 	}
 	c.listener.count(why)
+	if s.phase == waiting {
+		// The kernel would keep for minutes what the client doesn't take.
+		_ = c.SetLinger(0)
+	}
 	_ = c.Close()
 	return true
 }
@@ -325,10 +417,11 @@
 		return
 	}
 	c.finished = true
-	cost := c.cost
-	c.cost = 0
+	cost, sendCost := c.cost, c.sendCost
+	c.cost, c.sendCost = 0, 0
 	c.mu.Unlock()
 	c.listener.releaseHead(cost)
+	c.listener.takeSend(-sendCost)
 	c.listener.forget(c)
 }
 
--- a/inbound/limits.go
+++ b/inbound/limits.go
@@ -16,8 +16,9 @@
 	// defaultMemoryBytes is the memory of a machine whose settings name none.
 	defaultMemoryBytes = 256 << 20
 
-	// kernelBufferBytes is the size of each buffer of a connection in the kernel. It bounds what one
-	// connection transfers in a round trip.
+	// kernelBufferBytes is the size of the receive buffer of a connection in the kernel, and how much
+	// of a response the kernel may keep in any case. It bounds what one connection receives in a round
+	// trip.
 	kernelBufferBytes = 16 << 10
 
 	// connectionBytes is the memory of one open connection within the process: stacks and buffers.
@@ -34,11 +35,13 @@
 
 	// callerShare is the divisor of the memory that gives the memory for connections of callers,
 	// processShare that for those of other processes, and checkShare that for those of operators.
-	// headShare, messageShare and checkHeadShare are those for heads and messages that aren't complete.
+	// headShare, messageShare and checkHeadShare are those for heads and messages that aren't complete, sendShare that for what
+	// the kernel keeps of responses.
 	callerShare    = 4
 	processShare   = 6
 	checkShare     = 8
 	headShare      = 16
+	sendShare      = 16
 	messageShare   = 8
 	checkHeadShare = 64
 )
@@ -80,7 +83,11 @@
 	// HeadMemoryBytes is the memory for large heads of requests, or for messages, that aren't
 	// complete. Ordinary ones don't count.
 	HeadMemoryBytes int64
-	// KernelBufferBytes is the size of each buffer of a connection in the kernel; 0 for the kernel's own.
+	// SendMemoryBytes is the memory for what the kernel keeps of responses that clients take slowly.
+	// Up to 16 KiB of each don't count.
+	SendMemoryBytes int64
+	// KernelBufferBytes is the size of the receive buffer of a connection in the kernel; 0 for the
+	// kernel's own.
 	KernelBufferBytes int
 }
 
@@ -90,7 +97,7 @@
 	const numerator, denominator = 3, 8
 	return Limits{
 		Connections:     m.connections(m.sockets()*numerator/denominator, callerShare, callerBytes),
-		HeadMemoryBytes: m.Memory() / headShare, KernelBufferBytes: kernelBufferBytes,
+		HeadMemoryBytes: m.Memory() / headShare, SendMemoryBytes: m.Memory() / sendShare, KernelBufferBytes: kernelBufferBytes,
 	}
 }
 
@@ -100,7 +107,7 @@
 	left := m.sockets() - 2*m.Callers().Connections - 2*m.Checks().Connections - ownSockets
 	return Limits{
 		Connections:     m.connections(left, processShare, processBytes),
-		HeadMemoryBytes: m.Memory() / messageShare, KernelBufferBytes: kernelBufferBytes,
+		HeadMemoryBytes: m.Memory() / messageShare, SendMemoryBytes: m.Memory() / sendShare, KernelBufferBytes: kernelBufferBytes,
 	}
 }
 
@@ -111,7 +118,8 @@
 	listeners = max(listeners, 1)
 	return Limits{
 		Connections:     m.connections(m.sockets()*numerator/denominator/listeners, callerShare*listeners, callerBytes),
-		HeadMemoryBytes: m.Memory() / headShare / int64(listeners), KernelBufferBytes: kernelBufferBytes,
+		HeadMemoryBytes: m.Memory() / headShare / int64(listeners), SendMemoryBytes: m.Memory() / sendShare / int64(listeners),
+		KernelBufferBytes: kernelBufferBytes,
 	}
 }
 
@@ -121,7 +129,7 @@
 	const connections, divisor = 64, 25
 	return Limits{
 		Connections:     m.connections(min(connections, m.sockets()/divisor), checkShare, callerBytes),
-		HeadMemoryBytes: m.Memory() / checkHeadShare, KernelBufferBytes: kernelBufferBytes,
+		HeadMemoryBytes: m.Memory() / checkHeadShare, SendMemoryBytes: m.Memory() / checkHeadShare, KernelBufferBytes: kernelBufferBytes,
 	}
 }
 
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -59,12 +59,13 @@
 	mu         sync.Mutex
 	open       map[*Conn]struct{}
 	headMemory int64
+	sendMemory int64
 	ended      counts
 }
 
 type listenerMetrics struct {
-	open, headMemory tally.Gauge
-	ended            map[cause]tally.Counter
+	open, headMemory, sendMemory tally.Gauge
+	ended                        map[cause]tally.Counter
 }
 
 // NewListener returns a listener that accepts the connections of l within limits.
@@ -74,7 +75,8 @@
 		Listener: l, opts: opts, closed: make(chan struct{}), open: make(map[*Conn]struct{}), ended: make(counts),
 		metrics: listenerMetrics{
 			open: scope.Gauge("connections_open"), headMemory: scope.Gauge("head_memory_bytes"),
-			ended: make(map[cause]tally.Counter),
+			sendMemory: scope.Gauge("send_memory_bytes"),
+			ended:      make(map[cause]tally.Counter),
 		},
 	}
 	for _, c := range causes {
@@ -87,9 +89,9 @@
 	return out
 }
 
-// BoundKernelBuffers bounds the buffers of a socket in the kernel, or of the connections that a
-// listener accepts from now on. Unbounded, the kernel keeps megabytes for a client that doesn't read,
-// or that isn't read. It does nothing for what isn't a socket.
+// BoundKernelBuffers bounds what the kernel receives on a socket, or on the connections that a
+// listener accepts from now on, and the process hasn't read. Unbounded, the kernel keeps megabytes. It
+// does nothing for what isn't a socket.
 func BoundKernelBuffers(socket any, bytes int) error {
 	raw, err := syscallConn(socket)
 	if errors.Is(err, NotASocketError{}) || bytes == 0 {
@@ -103,12 +105,11 @@
 
 // BoundRawBuffers does the same for a raw socket, such as one that isn't connected yet.
 func BoundRawBuffers(raw syscall.RawConn, bytes int) error {
-	var receiveErr, sendErr error
+	var receiveErr error
 	err := raw.Control(func(fd uintptr) {
 		receiveErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
-		sendErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
 	})
-	return errors.WithStack(cmp.Or(err, receiveErr, sendErr))
+	return errors.WithStack(cmp.Or(err, receiveErr))
 }
 
 // Accept implements net.Listener. A connection for which none makes room is closed: nothing of it was
@@ -262,6 +263,18 @@
 	l.headMemory -= bytes
 }
 
+// takeSend takes memory for what the kernel keeps of responses, and reports whether it was left.
+// Giving it back, a negative number, never fails.
+func (l *Listener) takeSend(bytes int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bytes > 0 && l.sendMemory+bytes > l.opts.Limits.SendMemoryBytes {
+		return false
+	}
+	l.sendMemory += bytes
+	return true
+}
+
 func (l *Listener) forget(c *Conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -330,6 +343,7 @@
 	conns, states := l.snapshot(anyState)
 	times := l.opts.Times()
 	for i, s := range states {
+		conns[i].updateSend()
 		switch age := now.Sub(s.since); {
 		case s.phase == receiving && age > times.Head:
 			conns[i].endIf(s, causeHeadTime)
@@ -338,11 +352,12 @@
 		}
 	}
 	l.mu.Lock()
-	ended, memory := l.ended, l.headMemory
+	ended, memory, sendMemory := l.ended, l.headMemory, l.sendMemory
 	l.ended = make(counts)
 	l.mu.Unlock()
 	l.metrics.open.Update(float64(len(conns)))
 	l.metrics.headMemory.Update(float64(memory))
+	l.metrics.sendMemory.Update(float64(sendMemory))
 	if ended.notable() {
 		l.opts.Logger.Info("connections ended", append([]any{
 			"listener", l.opts.Name, "open", len(conns), "limit", l.opts.Limits.Connections,
