Router with agents: a stop also waits for callers whose response is just ending

Cause: the stop counted kept connections only. One whose response its caller has read counts as in use until its handler's goroutine has gone on, so that the stop began Shutdown, which then closed it as soon as it was idle. The same held for each response that was begun before the stop and ended after it.

Change: the stop waits for all connections but those that are known to be unused, within drainSeconds.

--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -281,12 +281,13 @@
 	delete(l.open, c)
 }
 
-// Unclaimed returns the number of connections on which clients may send a request, as they were told
-// when they got their last response, or as they are new.
-func (l *Listener) Unclaimed() int {
+// Used returns the number of connections that have a request, or on which clients may send one, as
+// they were told when they got their last response, or as they are new.
+func (l *Listener) Used() int {
 	now := time.Now()
 	conns, _ := l.snapshot(func(s state) bool {
-		return s.phase == kept && now.Sub(s.since) < s.keptFor || s.phase == fresh && now.Sub(s.since) < patience
+		unused := s.phase == kept && now.Sub(s.since) >= s.keptFor || s.phase == fresh && now.Sub(s.since) >= patience
+		return !unused
 	})
 	return len(conns)
 }
--- a/router/callers/callers.go
+++ b/router/callers/callers.go
@@ -48,9 +48,9 @@
 	// stoppingRetryAfter is when a caller may send a request again that a stop has ended.
 	stoppingRetryAfter = time.Second
 
-	// unclaimedInterval is how often a router that stops looks for connections on which a request
+	// usedInterval is how often a router that stops looks for connections on which a request
 	// may still come.
-	unclaimedInterval = 20 * time.Millisecond
+	usedInterval = 20 * time.Millisecond
 
 	// responseWriteTime bounds one write of a response for which no deadline is set.
 	responseWriteTime = 10 * time.Second
@@ -159,7 +159,7 @@
 	defer cancelDrain()
 	s.stopping.Store(true)
 	_ = bounded.Close()
-	awaitUnclaimed(drainCtx, bounded)
+	awaitUnused(drainCtx, bounded)
 	err := server.Shutdown(drainCtx)
 	if err == nil {
 		return nil
@@ -173,12 +173,12 @@
 	return nil
 }
 
-// awaitUnclaimed waits until callers send no request on their connections any more, or ctx ends.
-// Shutdown would close them at once.
-func awaitUnclaimed(ctx context.Context, listener *inbound.Listener) {
-	ticker := time.NewTicker(unclaimedInterval)
+// awaitUnused waits until requests have ended and callers send none on their connections any more, or
+// ctx ends. Shutdown would close each connection as soon as it is idle.
+func awaitUnused(ctx context.Context, listener *inbound.Listener) {
+	ticker := time.NewTicker(usedInterval)
 	defer ticker.Stop()
-	for listener.Unclaimed() > 0 {
+	for listener.Used() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
