--- a/review/second/platform/fleet.go
+++ b/review/second/platform/fleet.go
@@ -363,6 +363,7 @@
 		req.Header.Set(headerPrefix+"Token-Usage", q.tokens)
 		req.Header.Set(headerPrefix+"Prompt-Prefix", "5c1e07a2:100,"+q.id+":200")
 	}
+	f.note("client sends %s to %s: %s %s, deadline %s, tokens %q, body %q", q.id, to.name, req.Method, q.path, q.deadline, q.tokens, q.body)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	out := answer{}
 	resp, err := client.Do(req)
