A response whose status line none can have is no answer

Callers saw: of an endpoint's response with status 600 to 999, that status and its body, as an answer of the endpoint (signed); of an unasked 101, a 101 after which nothing came; of 000 to 099, a connection that closed without an answer, as net/http panics at such a status. One with 000 and the mark "not run" was told to the caller as "has not run" (503), though what such an endpoint says proves nothing.

Cause: net/http accepts any three characters that are a number as a status, and any version. The router took what net/http had parsed for a response.

Evidence: TestProofMalformedStatusLinesReachNoCaller, whose endpoint sends ten such heads on a route that may run once and one with a stream, before a sound endpoint, and to the resumption of a stream.

Change: package outbound follows the bytes of a response as they are read and fails the read at a status line that isn't one: not HTTP/1, a status below 100 or above 599 (RFC 9110, section 15), or 101, as the router asks for no other protocol. So nothing of the response is parsed, and the attempt is a failure as any other: 502 with "may have run", a retry where the route allows it, the prompt charged, the connection closed. It doesn't count as a crash: the endpoint answered, and three of them would have quarantined a sound request. Counter responses_malformed; the line "attempt ended" has the cause and the start of the line.

All statuses from 200 to 599, missing reasons, HTTP/1.0, bare line feeds and informational responses are passed on as before (TestSoundHeadsArePassedOn).

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"jackdawswitch/bodymem"
+	"jackdawswitch/outbound"
 	"jackdawswitch/routing"
 )
 
@@ -94,8 +95,9 @@
 	// connection.
 	unframed bool
 	// crashed is set when the attempt counts as a crash of the endpoint: the request
-	// was sent, but the response could not be read to its end.
-	crashed bool
+	// was sent, but the response could not be read to its end. malformed is set if the
+	// response was malformed instead.
+	crashed, malformed bool
 	// unreachable is set if the endpoint could not be connected to, for no reason of the
 	// caller's.
 	unreachable bool
@@ -200,8 +202,7 @@
 		}
 		a.connIdled, a.conn.sentAt = a.conn.idled, time.Now()
 		a.request = &sentRequest{beforeSend: func() error { return x.checkBeforeSend(a) }}
-		a.conn.counted.request.Store(a.request)
-		a.conn.counted.reader.Store(a.timer)
+		a.conn.counted.begin(a.request, a.timer)
 		watch := x.watchSilence(a)
 		resp, err = a.conn.RoundTrip(req)
 		watch.stop()
@@ -241,9 +242,11 @@
 }
 
 // breakOff records that the response couldn't be read to its end. This counts as a crash of
-// the endpoint, unless the response was too slow.
+// the endpoint, unless the response was malformed or too slow.
 func (a *attempt) breakOff(err error) {
-	a.outcome, a.err, a.crashed = outcomeBroken, err, true
+	var malformed *outbound.MalformedError
+	a.malformed = errors.As(err, &malformed)
+	a.outcome, a.err, a.crashed = outcomeBroken, err, !a.malformed
 	if overdue := a.timer.overdue(); overdue != nil {
 		a.err, a.crashed = errors.WithStack(overdue), false
 	}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -128,6 +128,7 @@
 		x.endConn(a)
 		x.openChoice = nil
 		x.router.recordAttempt(choice, a)
+		x.router.metrics.observeAttempt(a)
 		x.logAttempt(a)
 		x.quarantined = x.recordCrash(a).Quarantined()
 		x.recordParts(a)
--- a/direct/metrics.go
+++ b/direct/metrics.go
@@ -10,10 +10,12 @@
 
 // metrics are the counters and histograms of a router.
 type metrics struct {
-	scope     tally.Scope
-	requests  tally.Counter
-	attempts  tally.Counter
-	answered  tally.Counter
+	scope    tally.Scope
+	requests tally.Counter
+	attempts tally.Counter
+	answered tally.Counter
+	// malformed counts the attempts whose response was malformed.
+	malformed tally.Counter
 	firstByte tally.Histogram
 	total     tally.Histogram
 	// firstTokenRatio is the observed time to the first token relative to the expected one.
@@ -33,6 +35,7 @@
 		requests:  scope.Counter("requests"),
 		attempts:  scope.Counter("attempts"),
 		answered:  scope.Counter("requests_answered"),
+		malformed: scope.Counter("responses_malformed"),
 		firstByte: scope.Histogram("first_answer_seconds", latencyBuckets),
 		total:     scope.Histogram("whole_answer_seconds", latencyBuckets),
 
@@ -52,3 +55,10 @@
 		m.firstByte.RecordDuration(x.firstByteAt.Sub(x.started))
 	}
 }
+
+// observeAttempt counts an attempt that ended.
+func (m *metrics) observeAttempt(a *attempt) {
+	if a.malformed {
+		m.malformed.Inc(1)
+	}
+}
--- a/direct/traffic.go
+++ b/direct/traffic.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"jackdawswitch/outbound"
 )
 
 // traffic counts the bytes of a router's connections.
@@ -18,7 +20,7 @@
 	return context.WithValue(ctx, dialedKey{}, conn)
 }
 
-// dial wraps a dial function so that its connections are counted.
+// dial wraps a dial function so that its connections are counted and the responses on them checked.
 func (t *traffic) dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
@@ -26,16 +28,19 @@
 			return nil, err
 		}
 		counted := &countedConn{Conn: conn, traffic: t}
+		counted.checked = outbound.NewConn(counted)
 		if dialed, ok := ctx.Value(dialedKey{}).(**countedConn); ok {
 			*dialed = counted
 		}
-		return counted, nil
+		return counted.checked, nil
 	}
 }
 
 type countedConn struct {
 	net.Conn
 	traffic *traffic
+	// checked is the connection as the transport uses it.
+	checked *outbound.Conn
 	// reader is told of the bytes received; nil for none.
 	reader atomic.Pointer[partTimer]
 	// request is the request that is sent next or was sent last, nil for none.
@@ -56,6 +61,13 @@
 	sentAt atomic.Pointer[time.Time]
 }
 
+// begin records that a request follows, whose response is timed by reader.
+func (c *countedConn) begin(request *sentRequest, reader *partTimer) {
+	c.request.Store(request)
+	c.reader.Store(reader)
+	c.checked.Begin()
+}
+
 // Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
