A response with a malformed field name is no answer

Callers saw, from an endpoint whose response has a blank in or after the name of a field, an answer of that endpoint (signed) without the field. Before the name, a blank or tab made the line part of the value before, which was passed on: "T-Signed: e X-Trouble: y". Where the field tells the framing of the body ("Content-Length : 4", " Transfer-Encoding: chunked"), the body went up to the end of the connection: with the chunks' lengths in it, or with what followed the body.

Cause: net/http accepts a blank in a name and keeps the name as it is, so that nothing finds the field, and leaves it out when the response is written. A line that begins with white space it joins to the one before. It does so in informational responses too.

Change: the lines of a head, informational ones too, must begin with a name of the characters that RFC 9110, section 5.6.2, allows, and a colon. A folded value (RFC 9112, section 5.2, lets a gateway answer 502) is refused with the blank before a name, as nothing tells them apart.

What such a response does beside is as for a malformed status line; a control byte in a name no longer counts as a crash. Sound heads pass as before (TestSoundHeadsArePassedOn: names of all allowed characters, odd and long values).

--- a/outbound/response.go
+++ b/outbound/response.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -87,8 +88,9 @@
 	case len(line) == 0:
 		s.endFields()
 		return nil
+	default:
+		return checkField(line)
 	}
-	return nil
 }
 
 // statusLine checks the first line of a head. This process doesn't ask to switch protocols, so that 101
@@ -112,6 +114,22 @@
 	return nil
 }
 
+// checkField checks the name of a field. A line that begins with white space goes on with the value of
+// the line before (RFC 9112, section 5.2). What reads it as a field of its own sees another message, so
+// that such a response is malformed too.
+func checkField(line []byte) error {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok || len(name) == 0 || bytes.ContainsFunc(name, isNoNameRune) {
+		return malformed("name of a field", line)
+	}
+	return nil
+}
+
+// isNoNameRune reports whether no name of a field has the character (RFC 9110, section 5.6.2).
+func isNoNameRune(r rune) bool {
+	return (r < '0' || r > '9') && (r < 'A' || r > 'Z') && (r < 'a' || r > 'z') && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
+}
+
 // endFields ends a head. After an informational one another follows.
 func (s *responseScanner) endFields() {
 	s.part = partOpaque
--- a/outbound/response_test.go
+++ b/outbound/response_test.go
@@ -12,6 +12,7 @@
 	"HTTP/1.1 200\r\n\r\nHTTP/1.1 000 in a body\r\n",
 	"HTTP/1.0 599 \n\nbody",
 	"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 404 Not Found\r\nX: y\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: x\r\nX:\r\nX: \t: a b\xe9 \r\nX: " + strings.Repeat("x ", maxLineBytes) + "\r\n\r\na b: c",
 }
 
 // malformedResponses are split by a bar into a sound start and the rest.
@@ -25,6 +26,17 @@
 	"|\r\n",
 	"HTTP/1.1 100 Continue\r\n\r\n|HTTP/1.1 099 Trouble\r\n\r\n",
 	"|" + strings.Repeat("x", 3*maxLineBytes) + "\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n|a b: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n|a : c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n| a: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n|\ta: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n| \r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n|a\x00: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n|a\xff: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n|: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: y\r\n|c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n|" + strings.Repeat("x", 3*maxLineBytes) + ": y\r\n",
+	"HTTP/1.1 103 Early Hints\r\n|a b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 }
 
 // scanParts scans data in parts of a size, and returns what passed.
