A response without a length that is reset during the upload isn't complete

Callers saw, from an endpoint that answers a long upload at once with a 200 that has neither a length nor chunks, sends part of its body and resets the connection while the upload is still written, that part as a complete response.

Cause: the kernel tells a reset to one system call only. The transport writes the request while it reads the response. If the write is told (ECONNRESET), the next read returns the end of the connection, which is the end of such a response. The check that the endpoint still takes connections (direct/unframed.go) then passes, as the endpoint lives.

Evidence: TestProofAResponseThatIsResetDuringTheUploadIsNotComplete, 24 cases of 8 uploads of 16 MB (four kinds of routes; nothing or 1 MB of the upload read; no body, a whole event, one and a half).

Change: a connection on which requests are sent remembers that a write was told of a reset, and the end that a read finds after that is a reset too. A write that was told may return later than the read: if the kernel's state of the connection says that it is closed in both directions, the read waits for the write, which can't wait any more. The orderly end of the other side leaves another state; a reset after it is told as EPIPE, and the response stays complete (TestAResetAfterTheOrderlyEndLeavesTheEnd, 200 connections; TestAResetIsNoOrderlyEndWhileSending, 200).

Sound responses that begin during the upload are complete as before (TestASoundResponseDuringTheUploadIsComplete: with and without a length, in chunks, the upload read to its end after them). The failure is that of any connection that breaks: "may have run", no second run where the route forbids it, a crash of the endpoint as far as it can be seen.

The kernel's view of a connection (TCP_INFO) is read in one place, also for connections that fall silent.

--- a/direct/silence.go
+++ b/direct/silence.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"jackdawswitch/outbound"
 )
 
 const (
@@ -63,19 +63,10 @@
 
 // readLinkState returns the state of a connection, and false if it isn't known.
 func readLinkState(conn net.Conn) (linkState, bool) {
-	tcp, ok := conn.(*net.TCPConn)
+	info, ok := outbound.TCPInfo(conn)
 	if !ok {
 		return linkState{}, false
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return linkState{}, false
-	}
-	var info *unix.TCPInfo
-	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if controlErr != nil || err != nil {
-		return linkState{}, false
-	}
 	return linkState{
 		unacked:   info.Unacked > 0,
 		probes:    int(info.Probes),
--- a/outbound/conn.go
+++ b/outbound/conn.go
@@ -3,8 +3,15 @@
 package outbound
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // Conn is a connection on which requests are sent. Reading from it fails with a *MalformedError at a
@@ -14,6 +21,10 @@
 
 	mu       sync.Mutex
 	response responseScanner
+
+	// writing is held during a write. resetSeen is set once a write failed as the connection was reset.
+	writing   sync.Mutex
+	resetSeen atomic.Bool
 }
 
 // NewConn returns a Conn that reads from another one.
@@ -30,9 +41,13 @@
 	c.response = responseScanner{part: partStatusLine}
 }
 
-// Read implements net.Conn. With a *MalformedError it returns the bytes before the malformed line.
+// Read implements net.Conn. With a *MalformedError it returns the bytes before the malformed line. A
+// connection that was reset has no orderly end.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && c.wasReset() {
+		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", syscall.ECONNRESET)}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if sound, malformed := c.response.scan(b[:n]); malformed != nil {
@@ -40,3 +55,55 @@
 	}
 	return n, err
 }
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, syscall.ECONNRESET) {
+		c.resetSeen.Store(true)
+	}
+	return n, err
+}
+
+// wasReset reports whether the connection, on which a read found the end, was reset instead. The kernel
+// tells a reset to one call only, a read or a write, and to later reads the end. A reset after the orderly
+// end of the other side is told as EPIPE, and doesn't count.
+func (c *Conn) wasReset() bool {
+	if !c.resetSeen.Load() && isClosed(c.Conn) {
+		// A write that was told may not have returned yet. None waits any more.
+		c.writing.Lock()
+		defer c.writing.Unlock()
+	}
+	return c.resetSeen.Load()
+}
+
+// isClosed reports whether neither direction of a connection is open any more, as far as the kernel
+// tells.
+func isClosed(conn net.Conn) bool {
+	info, ok := TCPInfo(conn)
+	return ok && info.State == unix.BPF_TCP_CLOSE
+}
+
+// TCPInfo returns what the kernel knows of a connection, and false if it isn't known.
+func TCPInfo(conn net.Conn) (*unix.TCPInfo, bool) {
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		conn = wrapper.NetConn()
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, false
+	}
+	var info *unix.TCPInfo
+	controlErr := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	return info, controlErr == nil && err == nil
+}
