A response with a malformed trailer isn't complete

Callers saw, from an endpoint that ends a response in chunks with a field whose name has a blank in or after it, or with a line that begins with white space after another field, a complete response, also of a stream. With a control byte in the name, no name, or white space before the first one, net/http refuses the trailer, and they got a 502 or a stream without its end; there the request counted as one that crashed the endpoint.

Cause: net/http reads trailers as leniently as heads, and the check of package outbound ended with the head.

Change: the check goes on over the chunks to the trailer. The lengths of chunks are read as net/http reads them, and what it refuses isn't followed. As net/http replaces the error of a read within a trailer by its own, the connection is asked whether the response is malformed.

Trailers were and are not passed on to callers.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 
 	"jackdawswitch/bodymem"
-	"jackdawswitch/outbound"
 	"jackdawswitch/routing"
 )
 
@@ -202,7 +201,7 @@
 		}
 		a.connIdled, a.conn.sentAt = a.conn.idled, time.Now()
 		a.request = &sentRequest{beforeSend: func() error { return x.checkBeforeSend(a) }}
-		a.conn.counted.begin(a.request, a.timer)
+		a.conn.counted.begin(req.Method, a.request, a.timer)
 		watch := x.watchSilence(a)
 		resp, err = a.conn.RoundTrip(req)
 		watch.stop()
@@ -244,8 +243,9 @@
 // breakOff records that the response couldn't be read to its end. This counts as a crash of
 // the endpoint, unless the response was malformed or too slow.
 func (a *attempt) breakOff(err error) {
-	var malformed *outbound.MalformedError
-	a.malformed = errors.As(err, &malformed)
+	if malformed := a.conn.counted.checked.Malformed(); malformed != nil {
+		a.malformed, err = true, malformed
+	}
 	a.outcome, a.err, a.crashed = outcomeBroken, err, !a.malformed
 	if overdue := a.timer.overdue(); overdue != nil {
 		a.err, a.crashed = errors.WithStack(overdue), false
--- a/direct/traffic.go
+++ b/direct/traffic.go
@@ -61,11 +61,11 @@
 	sentAt atomic.Pointer[time.Time]
 }
 
-// begin records that a request follows, whose response is timed by reader.
-func (c *countedConn) begin(request *sentRequest, reader *partTimer) {
+// begin records that a request with a method follows, whose response is timed by reader.
+func (c *countedConn) begin(method string, request *sentRequest, reader *partTimer) {
 	c.request.Store(request)
 	c.reader.Store(reader)
-	c.checked.Begin()
+	c.checked.Begin(method)
 }
 
 // Read implements net.Conn.
--- a/outbound/conn.go
+++ b/outbound/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -33,12 +34,12 @@
 // NetConn returns the connection that is read from.
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
-// Begin records that a request follows, to which the next byte begins the response. It must be called
-// before each request. What is read before the first one isn't checked.
-func (c *Conn) Begin() {
+// Begin records that a request with a method follows, to which the next byte begins the response. It must
+// be called before each request. What is read before the first one isn't checked.
+func (c *Conn) Begin(method string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.response = responseScanner{part: partStatusLine}
+	c.response = responseScanner{part: partStatusLine, bodyless: method == http.MethodHead}
 }
 
 // Read implements net.Conn. With a *MalformedError it returns the bytes before the malformed line. A
@@ -56,6 +57,14 @@
 	return n, err
 }
 
+// Malformed returns the error of the malformed line in the response to the last request, nil if there is
+// none. net/http reports some other error for one in a trailer.
+func (c *Conn) Malformed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.response.err
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
--- a/outbound/response.go
+++ b/outbound/response.go
@@ -39,6 +39,11 @@
 	partStatusLine
 	// partFields are the lines after the status line up to an empty one.
 	partFields
+	// partChunkSize is the line before a chunk, partChunk the chunk with the end of its line.
+	partChunkSize
+	partChunk
+	// partTrailer are the fields after the last chunk.
+	partTrailer
 )
 
 // responseScanner follows the response to one request. It is pure.
@@ -46,8 +51,13 @@
 	part part
 	// line is the start of a line whose end wasn't read yet, at most maxLineBytes of it.
 	line []byte
-	// status is the status of the head that is read.
-	status int
+	// bodyless is set if the request asks for no body.
+	bodyless bool
+	// status is the status of the head that is read. chunked is set if its body is in chunks.
+	status  int
+	chunked bool
+	// left is the number of bytes that are left of the chunk.
+	left uint64
 	// err is the error of the malformed line. There is no response after it.
 	err error
 }
@@ -57,6 +67,10 @@
 func (s *responseScanner) scan(data []byte) (sound int, err error) {
 	for s.err == nil && sound < len(data) && s.part != partOpaque {
 		rest := data[sound:]
+		if s.part == partChunk {
+			sound += s.skipChunk(len(rest))
+			continue
+		}
 		end := bytes.IndexByte(rest, '\n')
 		if end < 0 {
 			s.keep(rest)
@@ -85,11 +99,14 @@
 	switch {
 	case s.part == partStatusLine:
 		return s.statusLine(line)
+	case s.part == partChunkSize:
+		s.chunkSize(line)
+		return nil
 	case len(line) == 0:
 		s.endFields()
 		return nil
 	default:
-		return checkField(line)
+		return s.field(line)
 	}
 }
 
@@ -97,7 +114,7 @@
 // is no response either.
 func (s *responseScanner) statusLine(line []byte) error {
 	const version, afterVersion, afterStatus = "HTTP/1.x", " 200", len(" 200")
-	s.part = partFields
+	s.part, s.chunked = partFields, false
 	rest, ok := bytes.CutPrefix(line, []byte(version[:len(version)-1]))
 	if !ok || len(rest) < 1+len(afterVersion) || !isDigit(rest[0]) || rest[1] != ' ' {
 		return malformed("status line", line)
@@ -114,14 +131,18 @@
 	return nil
 }
 
-// checkField checks the name of a field. A line that begins with white space goes on with the value of
-// the line before (RFC 9112, section 5.2). What reads it as a field of its own sees another message, so
-// that such a response is malformed too.
-func checkField(line []byte) error {
+// field checks the name of a field. A line that begins with white space goes on with the value of the line
+// before (RFC 9112, section 5.2). What reads it as a field of its own sees another message, so that such
+// a response is malformed too.
+func (s *responseScanner) field(line []byte) error {
 	name, _, ok := bytes.Cut(line, []byte(":"))
 	if !ok || len(name) == 0 || bytes.ContainsFunc(name, isNoNameRune) {
 		return malformed("name of a field", line)
 	}
+	if s.part == partFields && strings.EqualFold(string(name), "Transfer-Encoding") {
+		// net/http knows no other coding than chunks.
+		s.chunked = true
+	}
 	return nil
 }
 
@@ -130,12 +151,49 @@
 	return (r < '0' || r > '9') && (r < 'A' || r > 'Z') && (r < 'a' || r > 'z') && !strings.ContainsRune("!#$%&'*+-.^_`|~", r)
 }
 
-// endFields ends a head. After an informational one another follows.
+// endFields ends a head or a trailer. After an informational head another follows.
 func (s *responseScanner) endFields() {
-	s.part = partOpaque
-	if s.status < http.StatusOK {
+	switch {
+	case s.part == partFields && s.status < http.StatusOK:
 		s.part = partStatusLine
+	case s.part == partFields && s.chunked && s.hasBody():
+		s.part = partChunkSize
+	default:
+		s.part = partOpaque
+	}
+}
+
+// hasBody reports whether a body follows the head (RFC 9112, section 6.3).
+func (s *responseScanner) hasBody() bool {
+	return !s.bodyless && s.status != http.StatusNoContent && s.status != http.StatusNotModified
+}
+
+// maxChunkDigits bounds the length of a chunk, as net/http does.
+const maxChunkDigits = 15
+
+// chunkSize reads the length of a chunk. The rest of the response isn't checked if there is none, as
+// net/http fails it.
+func (s *responseScanner) chunkSize(line []byte) {
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	digits = bytes.TrimRight(digits, " \t")
+	size, err := strconv.ParseUint(string(digits[:min(len(digits), maxChunkDigits+1)]), 16, 64)
+	switch {
+	case err != nil || len(digits) > maxChunkDigits:
+		s.part = partOpaque
+	case size == 0:
+		s.part = partTrailer
+	default:
+		s.part, s.left = partChunk, size+uint64(len("\r\n"))
+	}
+}
+
+// skipChunk follows bytes of a chunk and returns how many.
+func (s *responseScanner) skipChunk(most int) int {
+	n := min(s.left, uint64(most))
+	if s.left -= n; s.left == 0 {
+		s.part = partChunkSize
 	}
+	return int(n)
 }
 
 func malformed(problem string, line []byte) error {
--- a/outbound/response_test.go
+++ b/outbound/response_test.go
@@ -13,6 +13,12 @@
 	"HTTP/1.0 599 \n\nbody",
 	"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 404 Not Found\r\nX: y\r\n\r\n",
 	"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: x\r\nX:\r\nX: \t: a b\xe9 \r\nX: " + strings.Repeat("x ", maxLineBytes) + "\r\n\r\na b: c",
+	"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3;x=y\r\na b\r\n0A \r\n0123456789\r\n000\r\nX: y\r\n\r\n rest",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n rest",
+	"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\na b: c\r\n\r\n",
+	"HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\nHTTP/1.1 200 OK\r\n\r\n0\r\na b: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n0\r\na b: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n0\r\na b: c\r\n\r\n",
 }
 
 // malformedResponses are split by a bar into a sound start and the rest.
@@ -36,6 +42,8 @@
 	"HTTP/1.1 200 OK\r\nX: y\r\n|: c\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nX: y\r\n|c\r\n\r\n",
 	"HTTP/1.1 200 OK\r\n|" + strings.Repeat("x", 3*maxLineBytes) + ": y\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na b\r\n0\r\n|a b: c\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na b\r\n0\r\nX: y\r\n|\ta: c\r\n\r\n",
 	"HTTP/1.1 103 Early Hints\r\n|a b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 }
 
