A response in HTTP/1.0 with chunks is no answer

Callers saw, from an endpoint that answers in HTTP/1.0 with a Transfer-Encoding, a body with the lengths of the chunks in it, as a complete 200 of that endpoint; of a stream, the events with lines of hex digits between them.

Cause: net/http ignores the coding in HTTP/1.0 and takes what follows the head, up to the Content-Length or the end of the connection, for the body.

Change: such a head is malformed, as RFC 9112, section 6.1, demands. HTTP/1.0 without a coding passes as before (TestSoundHeadsArePassedOn).

--- a/outbound/response.go
+++ b/outbound/response.go
@@ -53,9 +53,10 @@
 	line []byte
 	// bodyless is set if the request asks for no body.
 	bodyless bool
-	// status is the status of the head that is read. chunked is set if its body is in chunks.
-	status  int
-	chunked bool
+	// status is the status of the head that is read, http10 is set if its version is HTTP/1.0, and chunked
+	// if its body is in chunks.
+	status          int
+	http10, chunked bool
 	// left is the number of bytes that are left of the chunk.
 	left uint64
 	// err is the error of the malformed line. There is no response after it.
@@ -119,6 +120,7 @@
 	if !ok || len(rest) < 1+len(afterVersion) || !isDigit(rest[0]) || rest[1] != ' ' {
 		return malformed("status line", line)
 	}
+	s.http10 = rest[0] == '0'
 	status := rest[1:]
 	code, err := strconv.ParseUint(string(status[1:afterStatus]), 10, 16)
 	if err != nil || len(status) > afterStatus && status[afterStatus] != ' ' {
@@ -139,10 +141,15 @@
 	if !ok || len(name) == 0 || bytes.ContainsFunc(name, isNoNameRune) {
 		return malformed("name of a field", line)
 	}
-	if s.part == partFields && strings.EqualFold(string(name), "Transfer-Encoding") {
-		// net/http knows no other coding than chunks.
-		s.chunked = true
+	if s.part != partFields || !strings.EqualFold(string(name), "Transfer-Encoding") {
+		return nil
+	}
+	if s.http10 {
+		// RFC 9112, section 6.1. net/http takes the chunks for the body.
+		return malformed("coding in HTTP/1.0", line)
 	}
+	// net/http knows no other coding than chunks.
+	s.chunked = true
 	return nil
 }
 
--- a/outbound/response_test.go
+++ b/outbound/response_test.go
@@ -44,6 +44,7 @@
 	"HTTP/1.1 200 OK\r\n|" + strings.Repeat("x", 3*maxLineBytes) + ": y\r\n",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na b\r\n0\r\n|a b: c\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\na b\r\n0\r\nX: y\r\n|\ta: c\r\n\r\n",
+	"HTTP/1.0 200 OK\r\n|Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
 	"HTTP/1.1 103 Early Hints\r\n|a b: c\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 }
 
