Agents take no malformed or reset response of their endpoint for an answer

After a status 000 and an unasked 101, which the agent passed on, the router closed their connection without an answer, and the call counted as complete. A long upload that was reset was complete for the agent after a part of the response. Plain services (route kind "plain") are hit by all of them; a chat completion by those whose body is whole.

Change: outbound.Transport is an http.RoundTripper on checked connections; the default of package engine. A malformed response is a failure of the endpoint that may have run, not a crash, and not a refusal, whatever its status says: endpoint_failed (502), which routers count against the endpoint, also of a plain service. Connections with TLS aren't checked for malformed heads, as their bytes are encrypted.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -13,6 +13,7 @@
 
 	"jackdawswitch/agent"
 	pb "jackdawswitch/api/jackdawv1"
+	"jackdawswitch/outbound"
 	"jackdawswitch/rpc"
 	"jackdawswitch/rpc/memnet"
 	"jackdawswitch/settings"
@@ -57,11 +58,11 @@
 	if opts.slots == 0 {
 		opts.slots = 4
 	}
-	transport := &http.Transport{
+	transport := outbound.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return f.net.Host(agentHost).Dial(ctx, engineHost)
 		},
-	}
+	})
 	t.Cleanup(transport.CloseIdleConnections)
 	f.agent = agent.New(agent.Options{
 		Settings: settings.Agent{
--- a/agent/execute.go
+++ b/agent/execute.go
@@ -106,10 +106,14 @@
 // unknownOutcome is the outcome of a plain call without a complete response:
 // the call may have run, and its reservation is billed.
 func unknownOutcome(usage *pb.Usage, err *engine.Error) runOutcome {
+	refused := refusal.MayHaveRun(refusal.CauseOutcomeUnknown, "the service's answer is not whole")
+	if err.Kind == engine.KindFailed {
+		refused = refusal.MayHaveRun(refusal.CauseEndpointFailed, "the service's answer is malformed")
+	}
 	return runOutcome{
 		state:   pb.RunState_RUN_STATE_UNKNOWN,
 		usage:   usage,
-		refusal: refusal.MayHaveRun(refusal.CauseOutcomeUnknown, "the service's answer is not whole").WithError(err),
+		refusal: refused.WithError(err),
 		crashed: err.Kind == engine.KindBroken,
 	}
 }
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -15,7 +15,10 @@
 	"time"
 
 	"github.com/openai/openai-go"
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
+
+	"jackdawswitch/outbound"
 )
 
 const (
@@ -30,7 +33,7 @@
 
 // Options configures a client.
 type Options struct {
-	// Transport sends the requests; nil means http.DefaultTransport.
+	// Transport sends the requests; nil means outbound.DefaultTransport.
 	Transport http.RoundTripper
 	// Logger receives the log; nil discards it.
 	Logger *slog.Logger
@@ -49,7 +52,7 @@
 // New returns a client of the endpoint at baseURL.
 func New(baseURL string, opts Options) *Client {
 	if opts.Transport == nil {
-		opts.Transport = http.DefaultTransport
+		opts.Transport = outbound.DefaultTransport
 	}
 	if opts.Logger == nil {
 		opts.Logger = slog.New(slog.DiscardHandler)
@@ -222,10 +225,16 @@
 	if err == nil {
 		return nil
 	}
-	if ctx.Err() != nil {
+	var malformed *outbound.MalformedError
+	switch {
+	case ctx.Err() != nil:
 		return &Error{Op: op, Kind: KindCancelled, Cause: context.Cause(ctx)}
+	case errors.As(err, &malformed):
+		// The endpoint answered, so that it hasn't crashed.
+		return &Error{Op: op, Kind: KindFailed, Cause: err}
+	default:
+		return &Error{Op: op, Kind: KindBroken, Cause: err}
 	}
-	return &Error{Op: op, Kind: KindBroken, Cause: err}
 }
 
 // statusError returns the error for a response with a failure status, with the
--- /dev/null
+++ b/outbound/transport.go
@@ -0,0 +1,83 @@
+package outbound
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// DefaultTransport is http.DefaultTransport with its responses checked.
+var DefaultTransport = NewTransport(http.DefaultTransport.(*http.Transport))
+
+// Transport sends requests as an http.Transport does, and checks the responses in HTTP/1 that come without
+// TLS. A malformed one fails the request, or the reading of its body, with a *MalformedError.
+type Transport struct{ base *http.Transport }
+
+// NewTransport returns a Transport with the settings of another one.
+func NewTransport(base *http.Transport) *Transport {
+	base = base.Clone()
+	dial := base.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return NewConn(conn), nil
+	}
+	return &Transport{base: base}
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	// A request that is sent again on another connection gets several.
+	var last atomic.Pointer[Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(got httptrace.GotConnInfo) {
+		conn, _ := got.Conn.(*Conn)
+		if last.Store(conn); conn != nil {
+			conn.Begin(req.Method)
+		}
+	}}
+	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	conn := last.Load()
+	if conn == nil {
+		return resp, err
+	}
+	if err != nil {
+		return nil, conn.cause(err)
+	}
+	resp.Body = &checkedBody{ReadCloser: resp.Body, conn: conn}
+	return resp, nil
+}
+
+// cause returns why a response can't be read, given what net/http says.
+func (c *Conn) cause(err error) error {
+	if malformed := c.Malformed(); malformed != nil {
+		return malformed
+	}
+	return err
+}
+
+// checkedBody is the body of a checked response.
+type checkedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		err = b.conn.cause(err)
+	}
+	return n, err
+}
