jackdaw-router takes no malformed response of the table, the objects or the VM list for an answer

Seen, where such a response has a blank in or before the name of a field, the status 000 or 600, a coding in HTTP/1.0, or a malformed informational response before it: a write was taken for done (200) or not done (a failure that says so).

Cause: package httpcall, through which jackdaw-router and jackdawctl call these services, reads responses with net/http, too.

Evidence: TestAMalformedResponseLeavesTheOutcomeUnknown fails in seven of seven cases on the code before and passes on this commit. The tests of the table service, which uses this package, pass as before.

Change: its default is outbound.DefaultTransport. The outcome of such a write is unknown, and is found out as after a lost response.

--- a/storage/httpcall/httpcall.go
+++ b/storage/httpcall/httpcall.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"jackdawswitch/outbound"
 	"jackdawswitch/storage"
 	"jackdawswitch/storage/wire"
 )
@@ -38,7 +39,7 @@
 
 // Options configures a client of a platform service.
 type Options struct {
-	// Transport sends the requests; nil means http.DefaultTransport.
+	// Transport sends the requests; nil means outbound.DefaultTransport.
 	Transport http.RoundTripper
 	// Timeout limits one attempt of a call; 0 means DefaultTimeout.
 	Timeout time.Duration
@@ -50,7 +51,7 @@
 
 func (o Options) withDefaults() Options {
 	if o.Transport == nil {
-		o.Transport = http.DefaultTransport
+		o.Transport = outbound.DefaultTransport
 	}
 	if o.Timeout == 0 {
 		o.Timeout = DefaultTimeout
