The check of responses copies only lines that arrive in parts

Cause: each line was copied into a buffer that each response allocated anew.

Change: a line that arrives whole is checked where it is. At most 1 KiB of a line is looked at, as before. The status line is cut with one constant less.

--- a/outbound/response.go
+++ b/outbound/response.go
@@ -77,8 +77,14 @@
 			s.keep(rest)
 			break
 		}
-		s.keep(rest[:end])
-		if s.err = s.endLine(); s.err == nil {
+		line := rest[:end]
+		if len(s.line) > 0 {
+			s.keep(line)
+			line = s.line
+		}
+		s.line = s.line[:0]
+		line = line[:min(len(line), maxLineBytes)]
+		if s.err = s.endLine(bytes.TrimSuffix(line, []byte("\r"))); s.err == nil {
 			sound += end + 1
 		}
 	}
@@ -93,10 +99,8 @@
 	s.line = append(s.line, data[:min(len(data), maxLineBytes-len(s.line))]...)
 }
 
-// endLine checks the line that was read.
-func (s *responseScanner) endLine() error {
-	line := bytes.TrimSuffix(s.line, []byte("\r"))
-	s.line = s.line[:0]
+// endLine checks a line, without its end.
+func (s *responseScanner) endLine(line []byte) error {
 	switch {
 	case s.part == partStatusLine:
 		return s.statusLine(line)
@@ -114,16 +118,15 @@
 // statusLine checks the first line of a head. This process doesn't ask to switch protocols, so that 101
 // is no response either.
 func (s *responseScanner) statusLine(line []byte) error {
-	const version, afterVersion, afterStatus = "HTTP/1.x", " 200", len(" 200")
+	const version, withStatus = "HTTP/1.", len("1 200")
 	s.part, s.chunked = partFields, false
-	rest, ok := bytes.CutPrefix(line, []byte(version[:len(version)-1]))
-	if !ok || len(rest) < 1+len(afterVersion) || !isDigit(rest[0]) || rest[1] != ' ' {
+	rest, ok := bytes.CutPrefix(line, []byte(version))
+	if !ok || len(rest) < withStatus || !isDigit(rest[0]) || rest[1] != ' ' || len(rest) > withStatus && rest[withStatus] != ' ' {
 		return malformed("status line", line)
 	}
 	s.http10 = rest[0] == '0'
-	status := rest[1:]
-	code, err := strconv.ParseUint(string(status[1:afterStatus]), 10, 16)
-	if err != nil || len(status) > afterStatus && status[afterStatus] != ' ' {
+	code, err := strconv.ParseUint(string(rest[len("1 "):withStatus]), 10, 16)
+	if err != nil {
 		return malformed("status line", line)
 	}
 	s.status = int(code)
@@ -141,7 +144,7 @@
 	if !ok || len(name) == 0 || bytes.ContainsFunc(name, isNoNameRune) {
 		return malformed("name of a field", line)
 	}
-	if s.part != partFields || !strings.EqualFold(string(name), "Transfer-Encoding") {
+	if s.part != partFields || !bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 		return nil
 	}
 	if s.http10 {
--- a/outbound/response_test.go
+++ b/outbound/response_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
+	"net/http"
 	"strings"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // soundResponses are responses that pass whole.
@@ -92,3 +96,46 @@
 		}
 	}
 }
+
+// Guards against a framing that the check follows otherwise than net/http does, so that it would take a
+// body for a head or trailer. The bodies are lines that no field can be.
+func TestAnyFramingIsFollowed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var wire strings.Builder
+		for range rapid.IntRange(0, 2).Draw(t, "informational") {
+			wire.WriteString("HTTP/1.1 103 Early Hints\r\nLink: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+		}
+		body := strings.Repeat(" a b\r\n: c\r\n", rapid.IntRange(0, 20).Draw(t, "lines"))
+		method := rapid.SampledFrom([]string{http.MethodGet, http.MethodHead}).Draw(t, "method")
+		status := rapid.SampledFrom([]string{"200", "204", "304", "500"}).Draw(t, "status")
+		version := rapid.SampledFrom([]string{"HTTP/1.0", "HTTP/1.1"}).Draw(t, "version")
+		chunked := version == "HTTP/1.1" && rapid.Bool().Draw(t, "chunked")
+		trailer := chunked && rapid.Bool().Draw(t, "malformed trailer")
+		wire.WriteString(version + " " + status + " Any\r\nX: y\r\n")
+		if chunked {
+			wire.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+			for rest := body; rest != ""; {
+				size := rapid.IntRange(1, len(rest)).Draw(t, "chunk")
+				fmt.Fprintf(&wire, "%x\r\n%s\r\n", size, rest[:size])
+				rest = rest[size:]
+			}
+			wire.WriteString("0\r\nX-Trailer: y\r\n")
+			if trailer {
+				wire.WriteString("a b: c\r\n")
+			}
+			wire.WriteString("\r\n")
+		} else {
+			fmt.Fprintf(&wire, "Content-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		s := responseScanner{part: partStatusLine, bodyless: method == http.MethodHead}
+		var err error
+		for rest := wire.String(); rest != "" && err == nil; {
+			size := rapid.IntRange(1, len(rest)).Draw(t, "part")
+			_, err = s.scan([]byte(rest[:size]))
+			rest = rest[size:]
+		}
+		if want := trailer && method == http.MethodGet && status != "204" && status != "304"; (err != nil) != want {
+			t.Fatalf("%q: error %v, want one: %v", wire.String(), err, want)
+		}
+	})
+}
