--- a/standin/plain.go
+++ b/standin/plain.go
@@ -35,6 +35,9 @@
 	LoseResponses int `json:"loseAnswers,omitempty"`
 	// Status is the HTTP status of the responses; 0 means 200.
 	Status int `json:"status,omitempty"`
+	// Raw is sent as it is in place of each response, and then the connection is closed; empty for
+	// none.
+	Raw string `json:"raw,omitempty"`
 }
 
 // PlainService is an HTTP service whose responses depend only on the call. It
@@ -86,6 +89,10 @@
 	if loseResponse {
 		panic(http.ErrAbortHandler)
 	}
+	if faults.Raw != "" {
+		sendRaw(w, faults.Raw)
+		return
+	}
 	status := http.StatusOK
 	if faults.Status != 0 {
 		status = faults.Status
@@ -93,6 +100,17 @@
 	writeJSON(w, status, ExpectedPlainResponse(r.Method, r.URL.RequestURI(), body))
 }
 
+// sendRaw sends a text as the response to a call, and closes the connection.
+func sendRaw(w http.ResponseWriter, text string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = io.WriteString(conn, text)
+	_ = conn.Close()
+}
+
 // run counts a call and reports whether its response is lost.
 func (s *PlainService) run(body []byte) (loseResponse bool) {
 	s.mu.Lock()
