--- a/outbound/conn.go
+++ b/outbound/conn.go
@@ -81,7 +81,7 @@
 // end of the other side is told as EPIPE, and doesn't count.
 func (c *Conn) wasReset() bool {
 	if !c.resetSeen.Load() && isClosed(c.Conn) {
-		// A write that was told may not have returned yet. None waits any more.
+		// A write that was told may not have returned yet. None can wait on a closed connection.
 		c.writing.Lock()
 		defer c.writing.Unlock()
 	}
