A malformed response fails at once when its endpoint keeps the connection

Agents and the clients of the store waited for their timeouts alike.

Cause: the check fails one read, and the next one asked the kernel again. textproto looks at the byte after the status line and drops the error of that look, and bufio tells an error once only. The stand-ins of the tests before ended their connections after 300 ms, and the end of the connection brought the error back.

Change: after a malformed line each further read fails, without asking the kernel.

--- a/outbound/conn.go
+++ b/outbound/conn.go
@@ -45,6 +45,10 @@
 // Read implements net.Conn. With a *MalformedError it returns the bytes before the malformed line. A
 // connection that was reset has no orderly end.
 func (c *Conn) Read(b []byte) (int, error) {
+	// net/http drops an error that it gets before the first field, and reads on.
+	if malformed := c.Malformed(); malformed != nil {
+		return 0, malformed
+	}
 	n, err := c.Conn.Read(b)
 	if errors.Is(err, io.EOF) && c.wasReset() {
 		err = &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", syscall.ECONNRESET)}
