Responses that come with TLS are checked, too

Callers of a router with agents saw the same broken answers (status 000 and 600, a blank in or after a field's name, a malformed trailer) where the endpoint has an https URL; the table, the objects and the VM list may have one as well.

Cause: outbound.Transport checked only connections that it dialled without TLS. net/http put TLS on top of the check.

Change: the transport makes the handshake itself, with the settings, the time and the host's name that net/http would use, and checks what it reads above TLS. Connections that agree on HTTP/2 go back to net/http, which checks names of fields itself; of their responses, and of those through a proxy with TLS, the status is checked.

No program uses such a transport with https.

--- a/outbound/transport.go
+++ b/outbound/transport.go
@@ -13,25 +13,20 @@
 // DefaultTransport is http.DefaultTransport with its responses checked.
 var DefaultTransport = NewTransport(http.DefaultTransport.(*http.Transport))
 
-// Transport sends requests as an http.Transport does, and checks the responses in HTTP/1 that come without
-// TLS. A malformed one fails the request, or the reading of its body, with a *MalformedError. The bodies of
-// requests must not fail, and that of a response must not be closed while it is read.
+// Transport sends requests as an http.Transport does, and checks the responses in HTTP/1, and the status of
+// those in HTTP/2 or through a proxy with TLS. A malformed one fails the request, or the reading of its body,
+// with a *MalformedError. The bodies of requests must not fail, and that of a response must not be closed
+// while it is read.
 type Transport struct{ base *http.Transport }
 
 // NewTransport returns a Transport with the settings of another one.
 func NewTransport(base *http.Transport) *Transport {
 	base = base.Clone()
-	dial := base.DialContext
+	dial := dialFunc(base.DialContext)
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
-	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return NewConn(conn), nil
-	}
+	base.DialContext, base.DialTLSContext = dial.checked, dial.withTLS(base)
 	return &Transport{base: base}
 }
 
@@ -51,7 +46,7 @@
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	conn := last.Load()
 	if conn == nil {
-		return resp, err
+		return checkStatus(resp, err)
 	}
 	if err != nil {
 		return nil, conn.Cause(req.Context(), err)
@@ -60,6 +55,15 @@
 	return resp, nil
 }
 
+// checkStatus fails a response whose status none can have.
+func checkStatus(resp *http.Response, err error) (*http.Response, error) {
+	if err == nil && (resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus) {
+		_ = resp.Body.Close()
+		return nil, malformed("status", []byte(resp.Status))
+	}
+	return resp, err
+}
+
 // CheckBody returns the body of the response to the last request, which has a context. Its errors are those
 // of Cause.
 func (c *Conn) CheckBody(ctx context.Context, body io.ReadCloser) io.ReadCloser {
