A router passes on no status that no response has, whatever its agent says

Cause: the router wrote the status that the agent names. net/http panics at one below 100 or above 999.

Change: such a status breaks the stream of the attempt, which isn't attached to again, as the agent would name it again. The caller gets endpoint_failed, "may have run".

--- a/outbound/response.go
+++ b/outbound/response.go
@@ -15,6 +15,9 @@
 // maxStatus is the highest status that a response can have.
 const maxStatus = 599
 
+// IsFinal reports whether a status is one of a response that isn't informational (RFC 9110, section 15).
+func IsFinal(status int) bool { return status >= http.StatusOK && status <= maxStatus }
+
 // maxQuotedBytes bounds the text of a response in an error, maxRefusalBytes what net/http says of one.
 const (
 	maxQuotedBytes  = 48
--- a/outbound/transport.go
+++ b/outbound/transport.go
@@ -57,7 +57,7 @@
 
 // checkStatus fails a response whose status none can have.
 func checkStatus(resp *http.Response, err error) (*http.Response, error) {
-	if err == nil && (resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus) {
+	if err == nil && !IsFinal(resp.StatusCode) {
 		_ = resp.Body.Close()
 		return nil, malformed("status", []byte(resp.Status))
 	}
--- a/router/dispatch/attempt.go
+++ b/router/dispatch/attempt.go
@@ -116,9 +116,13 @@
 		before := a.run.delivery.offset()
 		last, err := a.relayStream(ctx, dispatched)
 		var callerErr *sinkError
+		var invalid *InvalidStatusError
 		switch {
 		case last != nil:
 			return a.handleEnded(ctx, last)
+		case errors.As(err, &invalid):
+			// The agent would name it again.
+			return a.handleLostStream(ctx, err)
 		case errors.As(err, &callerErr):
 			return a.handleCallerGone(err)
 		case !dispatched && rpc.NotSent(err):
--- a/router/dispatch/delivery.go
+++ b/router/dispatch/delivery.go
@@ -1,9 +1,13 @@
 package dispatch
 
 import (
-	"jackdawswitch/relay"
+	"fmt"
+
+	"github.com/pkg/errors"
 
 	pb "jackdawswitch/api/jackdawv1"
+	"jackdawswitch/outbound"
+	"jackdawswitch/relay"
 )
 
 // delivery writes one response to the caller: a streamed response chunk by chunk,
@@ -40,9 +44,20 @@
 func (e *sinkError) Error() string { return "dispatch: write to the caller: " + e.err.Error() }
 func (e *sinkError) Unwrap() error { return e.err }
 
+// InvalidStatusError means that an agent names a status that no response has.
+type InvalidStatusError struct{ Status int32 }
+
+// Error implements error.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("dispatch: the agent names the status %d", e.Status)
+}
+
 // handleEvent processes a Started or a Chunk event.
 func (d *delivery) handleEvent(event *pb.RunEvent) error {
 	if started := event.GetStarted(); started != nil {
+		if !outbound.IsFinal(int(started.GetStatus())) {
+			return errors.WithStack(&InvalidStatusError{Status: started.GetStatus()})
+		}
 		d.started = started
 		return nil
 	}
