--- a/outbound/tls_test.go
+++ b/outbound/tls_test.go
@@ -25,29 +25,18 @@
 	return server.TLS.Certificates[0], trusted
 }
 
-// serveTLS accepts connections with TLS, and plays each with a function after its first request's head.
-func serveTLS(t *testing.T, certificate tls.Certificate, play func(conn net.Conn, requests *bufio.Reader)) (address string) {
+// serveTLS accepts connections with TLS, and plays a function on each after the head of its first request.
+func serveTLS(t *testing.T, certificate tls.Certificate, play func(conn net.Conn)) (address string) {
 	t.Helper()
 	listener, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = conn.Close() })
-			go func() {
-				requests := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(requests); err == nil {
-					play(conn, requests)
-				}
-			}()
+	accept(t, listener, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			play(conn)
 		}
-	}()
+	})
 	return "https://" + listener.Addr().String()
 }
 
@@ -79,7 +68,7 @@
 		"control in a value":   ok + "a: b\x01\r\n" + rest,
 		"trailer":              ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\na b: c\r\n\r\n",
 	} {
-		address := serveTLS(t, certificate, func(conn net.Conn, _ *bufio.Reader) { _, _ = io.WriteString(conn, text) })
+		address := serveTLS(t, certificate, func(conn net.Conn) { _, _ = io.WriteString(conn, text) })
 		for kind, transport := range tlsTransports(trusted) {
 			t.Run(name+"/"+kind, func(t *testing.T) {
 				started := time.Now()
@@ -97,7 +86,7 @@
 // the upload.
 func TestAResponseWithTLSThatIsResetDuringTheUploadIsNotComplete(t *testing.T) {
 	certificate, trusted := identity(t)
-	address := serveTLS(t, certificate, func(conn net.Conn, _ *bufio.Reader) {
+	address := serveTLS(t, certificate, func(conn net.Conn) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
 		time.Sleep(20 * time.Millisecond)
 		tcp := conn.(*tls.Conn).NetConn().(*net.TCPConn)
@@ -167,7 +156,7 @@
 // Guards against connections whose other side isn't known.
 func TestATransportTrustsOnlyCertificatesOfTheHost(t *testing.T) {
 	certificate, trusted := identity(t)
-	address := serveTLS(t, certificate, func(conn net.Conn, _ *bufio.Reader) {
+	address := serveTLS(t, certificate, func(conn net.Conn) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
 	})
 	if err := post(&http.Client{Transport: NewTransport(&http.Transport{})}, address); !errors.As(err, new(x509.UnknownAuthorityError)) {
@@ -224,7 +213,7 @@
 	certificate, trusted := identity(t)
 	proxy := startTunnels(t)
 	for status, ok := range map[string]bool{"000 Trouble": false, "600 Trouble": false, "200 OK": true} {
-		address := serveTLS(t, certificate, func(conn net.Conn, _ *bufio.Reader) {
+		address := serveTLS(t, certificate, func(conn net.Conn) {
 			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nhi")
 		})
 		transport := NewTransport(&http.Transport{
--- a/outbound/transport_test.go
+++ b/outbound/transport_test.go
@@ -18,6 +18,27 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	accept(t, listener, func(conn net.Conn) {
+		requests := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			request, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if n == 0 && soundFirst {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+				continue
+			}
+			_, _ = io.WriteString(conn, text)
+		}
+	})
+	return "http://" + listener.Addr().String()
+}
+
+// accept plays a function on each connection of a listener. The connections stay open until the test's end.
+func accept(t *testing.T, listener net.Listener, play func(conn net.Conn)) {
+	t.Helper()
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
@@ -26,24 +47,9 @@
 				return
 			}
 			t.Cleanup(func() { _ = conn.Close() })
-			go func() {
-				requests := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					request, err := http.ReadRequest(requests)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					if n == 0 && soundFirst {
-						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
-						continue
-					}
-					_, _ = io.WriteString(conn, text)
-				}
-			}()
+			go play(conn)
 		}
 	}()
-	return "http://" + listener.Addr().String()
 }
 
 // post sends a request and reads the whole response.
