An agent that names an invalid status isn't believed that its attempt did not run

Cause: a status that no response has was handled as a lost stream, and there the agent's word on the cancelled attempt decides.

Change: the attempt is cancelled, and its outcome is unknown whatever the agent says.

--- a/router/dispatch/attempt.go
+++ b/router/dispatch/attempt.go
@@ -121,8 +121,7 @@
 		case last != nil:
 			return a.handleEnded(ctx, last)
 		case errors.As(err, &invalid):
-			// The agent would name it again.
-			return a.handleLostStream(ctx, err)
+			return a.handleInvalidStatus(ctx, err)
 		case errors.As(err, &callerErr):
 			return a.handleCallerGone(err)
 		case !dispatched && rpc.NotSent(err):
@@ -267,6 +266,18 @@
 		refused := refusal.NotRun(refusal.CauseEndpointFailed, "the endpoint's agent did not take the request")
 		return notRunOutcome(refused.WithRetryAfter(faultRetryAfter).WithError(err))
 	}
+	return a.goneOutcome(err)
+}
+
+// handleInvalidStatus returns the outcome of an attempt whose agent names a status that no response has. It
+// cancels the attempt. The agent would name the status again, and isn't believed that the attempt did not run.
+func (a *attemptRun) handleInvalidStatus(ctx context.Context, err error) attemptOutcome {
+	a.cancel(ctx, "invalid status")
+	return a.goneOutcome(err)
+}
+
+// goneOutcome returns the outcome of an attempt that may have run and whose response can't be had.
+func (a *attemptRun) goneOutcome(err error) attemptOutcome {
 	failure := a.run.delivery.decide(relay.StreamBreak{AttemptGone: true}).Failure
 	return unknownOutcome(failure.WithRetryAfter(faultRetryAfter).WithError(err))
 }
--- a/router/dispatch/malformed_test.go
+++ b/router/dispatch/malformed_test.go
@@ -21,7 +21,9 @@
 	pb.DRPCAgentUnimplementedServer
 	status  int32
 	attempt string
-	calls   atomic.Int32
+	// runState is what it says of an attempt that is cancelled.
+	runState pb.RunState
+	calls    atomic.Int32
 }
 
 func (a *respondingAgent) Run(_ *pb.RunRequest, stream pb.DRPCAgent_RunStream) error {
@@ -33,7 +35,7 @@
 }
 
 func (a *respondingAgent) Cancel(context.Context, *pb.CancelRequest) (*pb.CancelResponse, error) {
-	return &pb.CancelResponse{RunState: pb.RunState_RUN_STATE_COMPLETED}, nil
+	return &pb.CancelResponse{RunState: a.runState}, nil
 }
 
 func (a *respondingAgent) respond(stream interface{ Send(*pb.RunEvent) error }) error {
@@ -101,7 +103,8 @@
 		for status, sound := range map[int32]bool{
 			-1: false, 0: false, 99: false, 101: false, 199: false, 600: false, 999: false, 1000: false, 200: true, 404: true, 599: true,
 		} {
-			agent := &respondingAgent{status: status, attempt: attempt}
+			// What it says of the attempt isn't believed either.
+			agent := &respondingAgent{status: status, attempt: attempt, runState: pb.RunState_RUN_STATE_NOT_RUN}
 			client := rpc.NewClient(rpc.TCP{})
 			d := New(Options{Endpoints: oneEndpoint{}, Client: client, Logger: slog.New(slog.DiscardHandler), Metrics: tally.NoopScope})
 			var got caller
@@ -115,7 +118,7 @@
 			switch {
 			case sound && (outcome.err != nil || got != caller{status: int(status), body: "done"}):
 				t.Errorf("status %d, stream %v: the caller got %+v, outcome %+v", status, stream, got, outcome)
-			case !sound && (outcome.err == nil || outcome.err.Cause != refusal.CauseEndpointFailed || outcome.runState == pb.RunState_RUN_STATE_NOT_RUN || got != caller{}):
+			case !sound && (outcome.err == nil || outcome.err.Cause != refusal.CauseEndpointFailed || outcome.runState != pb.RunState_RUN_STATE_UNKNOWN || outcome.err.RunState != pb.RunState_RUN_STATE_UNKNOWN || got != caller{}):
 				t.Errorf("status %d, stream %v: the caller got %+v, outcome %+v", status, stream, got, outcome)
 			case agent.calls.Load() != 1 || elapsed > time.Second:
 				t.Errorf("status %d, stream %v: %d calls in %v", status, stream, agent.calls.Load(), elapsed)
