--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -14,6 +14,8 @@
 	"reclaimed": reclaimed,
 	"thawed":    thawed,
 	"settings":  settings,
+	"credit":    credit,
+	"removed":   removed,
 }
 
 func main() {
