--- a/review/third/platform/credit.go
+++ b/review/third/platform/credit.go
@@ -5,8 +5,6 @@
 import (
 	"syscall"
 	"time"
-
-	"jackdawswitch/platform/standin"
 )
 
 const (
@@ -22,43 +20,13 @@
 	finalFault             = 44 * time.Second
 )
 
-// outages are the times at which the store falls silent. It is back after outageTime. Shortly before that,
-// all routers are killed, and started again after restartIn.
-var outages = []time.Duration{8 * time.Second, 19 * time.Second, 30 * time.Second}
-
-const (
-	outageTime = 4500 * time.Millisecond
-	killAfter  = 4200 * time.Millisecond
-	restartIn  = time.Second
-)
-
 // creditRequest is what became of one request.
 type creditRequest struct {
 	sent   time.Duration
+	to     string
 	answer answer
 }
 
-// credit plays outages of the store in which routers are killed, and a final fault that kills all. It counts
-// how many of the requests are served after the recovery, and how much of the budget was used.
-func credit(f *fleet, trouble bool) bool {
-	return f.playCreditDay(trouble, func(day *creditDay) {
-		for _, at := range outages {
-			day.sleepUntil(at)
-			f.store.SetFaults(standin.Faults{Hang: true})
-			f.record.add("the store is silent")
-			day.sleepUntil(at + killAfter)
-			killRouters(f, day.all())
-			day.sleepUntil(at + outageTime)
-			f.store.SetFaults(standin.Faults{})
-			f.record.add("the store is back")
-			day.sleepUntil(at + killAfter + restartIn)
-			for _, r := range day.all() {
-				r.start()
-			}
-		}
-	})
-}
-
 func killRouters(f *fleet, routers []*router) {
 	for _, r := range routers {
 		r.process.signal(syscall.SIGKILL)
@@ -75,6 +43,7 @@
 	statuses := make(map[time.Duration]map[int]int)
 	for _, req := range requests {
 		n, _ := req.answer.parts()
+		f.record.add("sent at %.3f s to %s: %s, status %d, complete %v, %d events", req.sent.Seconds(), req.to, req.answer.id, req.answer.status, req.answer.complete, n)
 		served := req.answer.status == 200 && req.answer.complete && n == creditEvents
 		if req.answer.header.Get("X-Jackdawswitch-Server-Stamp") != "" {
 			// What the tenant got counts, also if the answer broke off.
--- a/review/third/platform/fleet.go
+++ b/review/third/platform/fleet.go
@@ -140,6 +140,17 @@
 	return f
 }
 
+// recordRuns adds to the record what the workers ran.
+func (f *fleet) recordRuns() {
+	logs, _ := filepath.Glob(filepath.Join(f.dir, "i-*.log"))
+	for _, path := range logs {
+		data, _ := os.ReadFile(path)
+		for _, line := range strings.Split(strings.TrimSpace(string(data)), "\n") {
+			f.record.add("%s: %s", strings.TrimSuffix(filepath.Base(path), ".log"), line)
+		}
+	}
+}
+
 // put writes a row on behalf of the operator or a worker.
 func (f *fleet) put(table, key string, value any) {
 	data, err := json.Marshal(value)
--- a/review/third/platform/main.go
+++ b/review/third/platform/main.go
@@ -11,11 +11,9 @@
 
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(f *fleet, trouble bool) bool{
-	"reclaimed": reclaimed,
-	"thawed":    thawed,
-	"settings":  settings,
-	"credit":    credit,
-	"removed":   removed,
+	"thawed":   thawed,
+	"settings": settings,
+	"removed":  removed,
 }
 
 func main() {
@@ -30,6 +28,7 @@
 	f := newFleet(newRecord(os.Args[2]))
 	f.record.add("case %s, trouble %v", os.Args[1], trouble)
 	held := cases[os.Args[1]](f, trouble)
+	f.recordRuns()
 	f.record.add("the rule held: %v", held)
 	endChildren()
 	if os.Getenv("KEEP") == "" {
--- a/review/third/platform/removed.go
+++ b/review/third/platform/removed.go
@@ -107,9 +107,10 @@
 }
 
 func (d *creditDay) request(n int) {
-	req := creditRequest{sent: time.Since(d.started)}
+	to := d.router(n)
+	req := creditRequest{sent: time.Since(d.started), to: to.name}
 	usage := fmt.Sprintf("X-Jackdawswitch-Token-Usage: %d,%d", promptTokens, outputTokens)
-	req.answer = send(d.router(n), "POST", fmt.Sprintf("/chat/%d", n), fmt.Sprintf("chat-%d", n), 5*time.Second, usage)
+	req.answer = send(to, "POST", fmt.Sprintf("/chat/%d", n), fmt.Sprintf("chat-%d", n), 5*time.Second, usage)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.requests = append(d.requests, req)
