--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-third ] && [ -x target/jackdaw-edge ] || exit 2
-exec timeout -k 5 110 target/review-third settings review/15/record.txt
+exec timeout -k 5 110 target/review-third settings review/13/record.txt
