--- a/review/third/platform/thawed.go
+++ b/review/third/platform/thawed.go
@@ -9,18 +9,29 @@
 	"time"
 )
 
-// thawed plays a worker that crashes in the middle of answers without a length, and is back at its
+// thawed plays a worker of four that crashes in the middle of answers without a length, and is back at its
 // address after two seconds, while the router's machine stands still.
 func thawed(f *fleet, trouble bool) bool {
-	const parts, interval, requests = 40, 100, 4
+	const parts, interval, workers, routers, requests = 40, 100, 4, 5, 16
 	const crashAfter, down, still = 200 * time.Millisecond, 2 * time.Second, 2600 * time.Millisecond
 	flags := []string{"unframed", fmt.Sprintf("events=%d", parts), fmt.Sprintf("interval=%d", interval)}
-	model := f.startWorker("i-model-1", "model", "", flags...)
+	var model *startedWorker
+	for n := range workers {
+		// The last one crashes: a quarter of the service.
+		model = f.startWorker(fmt.Sprintf("i-model-%d", n+1), "model", "", flags...)
+	}
 	f.configure()
-	r := f.newRouter(0)
-	r.start()
-	if !r.awaitReady(startTimeout) {
-		cannotRun("the router isn't ready")
+	// The first of five routers stands still: of nine machines, those of the workers included.
+	var r *router
+	for n := range routers {
+		other := f.newRouter(n)
+		other.start()
+		if !other.awaitReady(startTimeout) {
+			cannotRun("%s isn't ready", other.name)
+		}
+		if r == nil {
+			r = other
+		}
 	}
 	var group sync.WaitGroup
 	var mu sync.Mutex
@@ -45,7 +56,7 @@
 		<-model.process.exited
 		f.record.add("%s crashed", model.id)
 		time.Sleep(down)
-		f.startWorker("i-model-2", "model", model.address, flags...)
+		f.startWorker("i-model-5", "model", model.address, flags...)
 		time.Sleep(still - crashAfter - down)
 		r.process.signal(syscall.SIGCONT)
 		f.record.add("%s wakes", r.name)
